Log what became of each unserved query, and what the decisions go by

event=query_unserved now names the query's id, its class, age and each attempt that did not go well; event=decisions tells every 5 s what the module goes by.

--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -6,8 +6,8 @@
 use plover_admission::{Connection, Shares};
 use plover_core::{Dispatch, Query};
 use plover_model::query::{Ask, AttemptId, QueryId, Reply};
-use plover_model::server::Outcome;
-use plover_model::time::{Micros, millis};
+use plover_model::server::{NodeId, Outcome};
+use plover_model::time::{MILLI, Micros, millis};
 use plover_repeats::{Proof, Repeats, Verdict};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -25,9 +25,35 @@
     reply: Sender<Reply>,
     /// The value of each part that is in.
     values: Vec<Option<String>>,
+    taken: Micros,
+    /// What became of its attempts, for the log. Bounded by parts and attempts a part.
+    story: Vec<Told>,
     span: Span,
 }
 
+/// One attempt that ended, as the log tells it.
+struct Told {
+    attempt: AttemptId,
+    server: NodeId,
+    sent: Micros,
+    ended: Option<(Outcome, Micros)>,
+}
+
+/// `PART.ATTEMPT@SERVER+SENT:OUTCOME/TIME`, times in milliseconds since the query came.
+fn told(taken: Micros, story: &[Told]) -> String {
+    let ms = |at: Micros| at.saturating_sub(taken) / MILLI;
+    let one = |t: &Told| {
+        let (part, attempt, server, sent) = (t.attempt.part, t.attempt.attempt, &t.server.0, ms(t.sent));
+        match t.ended {
+            Some((outcome, at)) => format!("{part}.{attempt}@{server}+{sent}:{outcome:?}/{}", ms(at)),
+            None => format!("{part}.{attempt}@{server}+{sent}:out"),
+        }
+    };
+    // What went well is left out: a line of the log is short, and the bad ones are looked for.
+    let bad = story.iter().filter(|t| t.ended.is_none_or(|(o, _)| o != Outcome::Served));
+    bad.map(one).collect::<Vec<_>>().join(" ")
+}
+
 impl Pending {
     /// The room that it takes: itself and its parts.
     fn units(&self) -> usize {
@@ -138,7 +164,8 @@
         span.in_scope(|| debug!(name: "query_taken", class = ask.class, parts = ask.parts.len()));
         self.ids.insert(ask.id.clone());
         let values = vec![None; ask.parts.len()];
-        self.pending.insert(id, Pending { connection, ask, reply, values, span });
+        self.pending
+            .insert(id, Pending { connection, ask, reply, values, taken: now, story: Vec::new(), span });
         Some(query)
     }
 
@@ -153,10 +180,19 @@
     pub(crate) fn finish(&mut self, now: Micros, query: QueryId, reply: impl FnOnce(Values) -> Reply) {
         let Some(pending) = self.pending.get_mut(&query) else { return };
         let values = std::mem::take(&mut pending.values);
+        let parts_in = values.iter().flatten().count();
         let shards = pending.ask.parts.iter().map(|p| p.shard);
         let reply = reply(shards.zip(values).filter_map(|(shard, v)| Some((shard, v?))).collect());
         let Some(pending) = self.close(now, query, matches!(reply, Reply::Answer { .. })) else { return };
         pending.span.in_scope(|| debug!(name: "query_ended", reply = ?std::mem::discriminant(&reply)));
+        if !matches!(reply, Reply::Answer { .. }) {
+            let refused = matches!(reply, Reply::Refused { .. });
+            let after_ms = now.saturating_sub(pending.taken) / MILLI;
+            let Ask { id, class, parts, patience, again, .. } = &pending.ask;
+            let (parts, patience_ms) = (parts.len(), patience / MILLI);
+            let (attempts, bad) = (pending.story.len(), told(pending.taken, &pending.story));
+            info!(name: "query_unserved", id = %id, class, again, refused, after_ms, patience_ms, parts, parts_in, attempts, bad);
+        }
         // A client that has just gone needs none.
         let _ = pending.reply.try_send(reply);
     }
@@ -174,7 +210,7 @@
 
     /// A dispatch with all that its frame needs.
     pub(crate) fn outgoing(&mut self, now: Micros, d: Dispatch) -> Result<Send, Held> {
-        let pending = self.pending.get(&d.attempt.query).ok_or(Held::Over)?;
+        let pending = self.pending.get_mut(&d.attempt.query).ok_or(Held::Over)?;
         let part = pending.ask.parts.get(d.attempt.part).ok_or(Held::Over)?;
         if let Some(key) = &pending.ask.key {
             if !self.repeats.may_send(now, key, part.shard) {
@@ -186,6 +222,8 @@
         pending.span.in_scope(
             || debug!(name: "part_sent", shard = part.shard, attempt = d.attempt.attempt, server = %d.server.0),
         );
+        let told = Told { attempt: d.attempt, server: d.server.clone(), sent: now, ended: None };
+        pending.story.push(told);
         Ok(Send {
             attempt: d.attempt,
             server: d.server,
@@ -211,6 +249,9 @@
         pending
             .span
             .in_scope(|| debug!(name: "part_ended", part = ended.attempt.part, outcome = ?ended.outcome));
+        if let Some(told) = pending.story.iter_mut().rfind(|t| t.attempt == ended.attempt) {
+            told.ended = Some((ended.outcome, now));
+        }
         if let Some(value) = pending.values.get_mut(ended.attempt.part)
             && ended.outcome == Outcome::Served
         {
--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -28,6 +28,9 @@
 /// After a request to end, new connections are taken for this long: fronts notice late.
 const LEAVING: Micros = 600_000;
 
+/// What the decisions go by is logged this often: seldom enough for a log of weeks.
+const TELL_EVERY: Micros = 5_000_000;
+
 /// One broker.
 pub struct Broker {
     clock: Clock,
@@ -47,6 +50,8 @@
     dispatches: BTreeMap<AttemptId, Dispatch>,
     ended: Vec<Ended>,
     leaving_since: Option<Micros>,
+    /// When to log next what the decisions go by.
+    tell_at: Micros,
 }
 
 /// Catches the signals that the program heeds, from now on.
@@ -107,9 +112,10 @@
         dispatches: BTreeMap::new(),
         ended: Vec::new(),
         leaving_since: None,
+        tell_at: 0,
     };
     broker.learn(clock.now(), ListScope::Known, &config.known);
-    info!(name: "started", name = %config.name, listen = %listen, rev);
+    info!(name: "started", name = %config.name, listen = %listen, rev, servers = config.known.targets.len());
     if let (Some(listen), Some(held)) = (listen_http2, limits.http2) {
         let (connections, streams) = (held.connections, held.streams);
         info!(name: "started_http2", listen = %listen, connections, streams);
@@ -195,6 +201,21 @@
         let sends = sends.into_values().filter_map(|d| self.send(now, d)).collect();
         self.upstream.dispatch(now, sends);
         self.upstream.sweep(now);
+        self.tell(now);
+    }
+
+    /// Says now and then what the decisions go by: a refusal on arrival can be traced to nothing else.
+    fn tell(&mut self, now: Micros) {
+        if now < self.tell_at {
+            return;
+        }
+        self.tell_at = now + TELL_EVERY;
+        let s = self.core.summary(now);
+        info!(
+            name: "decisions", held = self.core.held(), open = self.upstream.open(), serving = s.serving,
+            passed_over = s.passed_over, cold = s.cold, pace = s.pace, slow = s.slow, rows = s.rows,
+            unit = s.unit, lag = s.lag
+        );
     }
 
     /// Takes news of the list: the decisions and the pools learn of it in the same turn.
--- a/crates/brookbend/src/view.rs
+++ b/crates/brookbend/src/view.rs
@@ -4,7 +4,7 @@
 
 use crate::api::*;
 use crate::choice::Aggregator;
-use crate::state::{Flight, Server};
+use crate::state::{Flight, Learned, Server};
 
 /// Most attempts that one report stands for. Health is a matter of shares and of failures in a row: what a thousand
 /// attempts say beyond this is no news, and would drown what others report.
@@ -46,7 +46,29 @@
     pub elapsed: Option<Ms>,
 }
 
+/// One class as the module sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClassView {
+    /// Rows that its queries touch.
+    pub rows: f64,
+    /// Work of one of its parts.
+    pub unit: Ms,
+    /// How much longer than forecast its queries take.
+    pub lag: Ms,
+}
+
 impl Aggregator {
+    /// All classes, in their order.
+    pub fn class_views(&self) -> Vec<ClassView> {
+        let view = |l: &Learned| ClassView { rows: l.width.rows, unit: l.unit, lag: l.lag };
+        self.learned.iter().map(view).collect()
+    }
+
+    /// Time until an answer per work out at a server, over the fleet.
+    pub fn usual_pace(&self) -> f64 {
+        self.fleet_pace
+    }
+
     /// All servers that the list names, by name. Those that are gone are left out.
     pub fn views(&self, now: Ms) -> Vec<ServerView> {
         let fleet = &self.fleet;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,8 +5,11 @@
 //! a query enters in [`Core::pick`] and leaves with its one [`Final`] or in [`Core::leave`].
 
 use brookbend::Aggregator;
-use brookbend::api::{Action, ClassIndex, Event, ListKind, Member, Part, RequestId, Settings, TenantIndex};
+use brookbend::api::{
+    Action, ClassIndex, Event, ListKind, Member, NodeState, Part, RequestId, Settings, TenantIndex,
+};
 use brookbend::room::no_room_advice;
+use brookbend::view::ClassView;
 use plover_model::query::{AttemptId, PartSpec, QueryId};
 use plover_model::server::{ListScope, NodeId, Outcome, ServerInfo};
 use plover_model::time::{MILLI, Micros, millis};
@@ -94,6 +97,30 @@
     pub overdue: usize,
 }
 
+/// What the decisions go by. Of classes, the figures stand in their order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Summary {
+    /// Servers that may be sent something.
+    pub serving: usize,
+    /// Servers passed over for their failures, or since they are full.
+    pub passed_over: usize,
+    /// Servers that may be cold.
+    pub cold: usize,
+    /// Time until an answer per work out at a server.
+    pub pace: f64,
+    /// Servers that take more than twice as long.
+    pub slow: usize,
+    /// Rows touched.
+    pub rows: String,
+    /// Work of a part, in milliseconds.
+    pub unit: String,
+    /// How much longer than forecast queries take, in milliseconds.
+    pub lag: String,
+}
+
+/// A server is told as slow from this multiple of the fleet's pace on.
+const SLOW: f64 = 2.0;
+
 struct Open {
     /// Attempts dispatched so far, by part: the module numbers them by their order alone.
     attempts: Vec<u32>,
@@ -236,6 +263,25 @@
         [end, wake].into_iter().flatten().min().unwrap_or(Micros::MAX)
     }
 
+    /// What the decisions go by, as one line of a log can tell it.
+    pub fn summary(&self, now: Micros) -> Summary {
+        let views = self.aggregator.views(to_ms(now));
+        let classes = self.aggregator.class_views();
+        let join = |of: &dyn Fn(&ClassView) -> f64| {
+            classes.iter().map(|c| format!("{:.1}", of(c))).collect::<Vec<_>>().join(",")
+        };
+        Summary {
+            serving: views.iter().filter(|v| v.state == NodeState::Serving).count(),
+            passed_over: views.iter().filter(|v| v.ejected_until.is_some()).count(),
+            cold: views.iter().filter(|v| v.cold_since.is_some()).count(),
+            pace: self.aggregator.usual_pace(),
+            slow: views.iter().filter(|v| v.pace > SLOW).count(),
+            rows: join(&|c| c.rows),
+            unit: join(&|c| c.unit),
+            lag: join(&|c| c.lag),
+        }
+    }
+
     /// Queries and parts in hand.
     pub fn held(&self) -> usize {
         self.held
@@ -318,7 +364,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use brookbend::api::NodeState;
     use brookbend::settings::{Message, decode};
     use serde_json::Value;
 
