Give second copies a budget that a large fleet's brokers cannot add up to a jam

Each broker may send 6 further attempts free and 30% of what it took, in 1.5 aims. Of 100 brokers with two queries a second each, these alone allow copies of more than half of all parts.

From four brokers on the copies' budget shrinks, down to 5% of parts; retries of what has failed keep theirs. Few brokers: nothing changes.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -77,6 +77,10 @@
 const OWN_SPARE: f64 = 6.0;
 const OWN_SHARE: f64 = 0.3;
 const OWN_SPAN_AIMS: f64 = 1.5;
+/// Among more aggregators than this, copies have a smaller budget, down to the slowest twentieth of parts:
+/// their free copies add up, and go to servers of whose load one among many knows nothing.
+const COPY_SEES: f64 = 4.0;
+const COPY_SHARE: f64 = 0.05;
 
 /// A query is refused on arrival when its forecast passes this share of its time: least and most, by worth.
 const ADMIT: (f64, f64) = (0.5, 0.75);
@@ -470,7 +474,7 @@
         }
         let out = piece.tries.iter().any(|t| t.outcome.is_none());
         let (age, expected) = piece.tries.last().map_or((0.0, 0.0), |t| (self.now - t.sent, t.expected));
-        if (out && !self.late(q, piece)) || !self.budget_left() {
+        if (out && !self.late(q, piece)) || !self.budget_left(out) {
             return;
         }
         let Some(s) = self.pick(q, i) else { return };
@@ -534,10 +538,13 @@
     }
 
     /// Room for one more attempt beyond a first in the rule's exact sliding window, or our own where none
-    /// is set, so that retries and copies cannot feed an overload.
-    fn budget_left(&mut self) -> bool {
+    /// is set, so that retries and second copies cannot feed an overload.
+    fn budget_left(&mut self, copy: bool) -> bool {
         let span = OWN_SPAN_AIMS * self.shortest_aim();
-        let own = AttemptBudget { spare: OWN_SPARE, per_request: OWN_SHARE, span };
+        // A few brokers see most of a server's load in their own answers; of many, each is nearly blind.
+        let seen = if copy { (COPY_SEES / self.set.aggregators.max(1) as f64).min(1.0) } else { 1.0 };
+        let per_request = if copy { (OWN_SHARE * seen).max(COPY_SHARE) } else { OWN_SHARE };
+        let own = AttemptBudget { spare: OWN_SPARE * seen, per_request, span };
         let rule = self.set.budget.unwrap_or(own);
         let from = self.now - rule.span;
         // The window's ends are taken so that neither reading of them allows more than the rule.
@@ -993,7 +1000,7 @@
         let out = self.fleet.servers.iter().enumerate().filter(|(_, s)| s.work_out > 0.0);
         self.desk.untold.extend(out.map(|(i, _)| i));
         self.forget_gone();
-        self.budget_left(); // forgets what is past its window
+        self.budget_left(false); // forgets what is past its window
     }
 
     /// Servers get new names all day: those that are gone must not be kept, nor looked through, for ever.
--- a/crates/brookbend/tests/module.rs
+++ b/crates/brookbend/tests/module.rs
@@ -158,6 +158,24 @@
     assert_ne!(copies[0].1, first[0].1);
 }
 
+/// Copies sent for ten queries that all stay unanswered at once, each at servers of its own.
+fn copies_among(aggregators: usize) -> usize {
+    let mut s = Stand::new(Settings { aggregators, cells: 60, shards: 180, ..ring() }, 1);
+    let mut events = Vec::new();
+    for k in 0..10 {
+        events.extend(s.query(&format!("q{k}"), 0, &[6 * k], 4000.0));
+    }
+    let first = sends(&s.step(5.0, events)).len();
+    assert_eq!(first, 10);
+    sends(&s.step(600.0, vec![])).len()
+}
+
+/// At a hot spot all are late. The copies of a hundred brokers, each within a budget fit for three, doubled it.
+#[test]
+fn copies_of_many_aggregators_do_not_add_up_to_a_second_load() {
+    assert_eq!([3, 100].map(copies_among), [10, 1]);
+}
+
 /// A single answer that is lost, or a single slow server, must not cost the query: with one attempt out at a
 /// time the overdue one is called off first, and only what that proves lets another go.
 #[test]
