Hold a full server off for a broker's own turn there, and space retries at it

A server that turned a part away was passed over for 0.15 aims, 75 ms here. One of 100 brokers sends to a server about every 2 s, so that the hold turned next to nothing away; and where all holders were held, the retries went at once:

Fifteen parts were under way and lost. A full server serves half of what it could (48 to 68 parts in 1.4 s at cells 5 to 17, 124 at cells 47 and 50 with short queues). The hold is now half the time between two own parts there, within the old bounds, and a retry waits 0.15 aims for each try before it while the server is held.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -60,6 +60,8 @@
 const ALIVE_AIM: f64 = 0.25;
 /// A server that turned a part away is passed over for this share of the shortest aim.
 const FULL_HOLD: f64 = 0.15;
+/// And for this share of the time between two parts of our own there: a shorter hold turns none away.
+const FULL_TURN: f64 = 0.5;
 
 /// An attempt is overdue at this many times its forecast, and this share of its class's aim: sooner, copies
 /// double work that only queues, and blame its server.
@@ -78,7 +80,7 @@
 const OWN_SHARE: f64 = 0.3;
 const OWN_SPAN_AIMS: f64 = 1.5;
 /// Among more aggregators than this, copies have a smaller budget, down to the slowest twentieth of parts:
-/// their free copies add up, and go to servers of whose load one among many knows nothing.
+/// they add up, and go to servers of whose load one among many knows nothing.
 const COPY_SEES: f64 = 4.0;
 const COPY_SHARE: f64 = 0.05;
 
@@ -478,6 +480,11 @@
             return;
         }
         let Some(s) = self.pick(q, i) else { return };
+        // All holders are full: at once, the attempts that are left would be turned away within a moment.
+        let wait = FULL_HOLD * self.shortest_aim() * q.pieces[i].tries.len() as f64;
+        if !out && age < wait && self.fleet.servers[s].full_until > self.now {
+            return;
+        }
         let forecast = self.forecast(s, q.class, self.work(q, i) + self.call_work(s));
         // A copy must come in time to count, and the overdue one be late by more than a copy takes: on a busy
         // fleet copies then wait, on an idle one they go soon.
@@ -794,6 +801,7 @@
         let aim = self.shortest_aim();
         let jitter = 0.75 + 0.5 * self.dice.random();
         self.desk.untold.insert(f.server);
+        let full_hold = (FULL_HOLD * aim).max(FULL_TURN * self.turn()).min(EJECT_LONGEST * aim);
         let s = &mut self.fleet.servers[f.server];
         s.work_out = (s.work_out - f.work).max(0.0);
         if let Some(k) = s.flying.iter().position(|(sent, e)| *sent == f.sent && *e == f.expected) {
@@ -850,7 +858,7 @@
                 width.ended += 1;
                 width.bad += 1;
                 // Each time longer while nothing is answered: a server that hangs is full for as long.
-                s.ejection = (s.ejection * 2.0).clamp(FULL_HOLD * aim, EJECT_LONGEST * aim);
+                s.ejection = (s.ejection * 2.0).clamp(full_hold, EJECT_LONGEST * aim);
                 s.full_until = self.now + s.ejection * jitter;
                 s.shun_until = s.full_until;
                 return;
@@ -884,6 +892,13 @@
         }
     }
 
+    /// Mean time between two parts that we send to one server, as what was taken of late tells.
+    fn turn(&self) -> Ms {
+        let span = OWN_SPAN_AIMS * self.shortest_aim();
+        let taken = self.desk.taken.iter().rev().take_while(|t| **t >= self.now - span).count();
+        span * self.fleet.rows.servers() as f64 / taken.max(1) as f64
+    }
+
     fn shortest_aim(&self) -> Ms {
         self.set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min).min(1e9)
     }
--- a/crates/brookbend/src/state.rs
+++ b/crates/brookbend/src/state.rs
@@ -217,6 +217,10 @@
     pub(crate) fn of(&self, shard: usize) -> &[usize] {
         if self.0.is_empty() { &[] } else { &self.0[shard % self.0.len()] }
     }
+    /// Servers in them.
+    pub(crate) fn servers(&self) -> usize {
+        self.0.iter().flatten().collect::<BTreeSet<_>>().len()
+    }
     /// The most holders that a shard has.
     pub(crate) fn most(&self) -> usize {
         self.0.iter().map(Vec::len).max().unwrap_or(0)
