Admit a query that needs all its parts by its slowest part

Admission went half of the way from the parts' mean forecast to the slowest's. Of 18 parts the one at a jammed server hardly moves the mean, and its copies are few now:

Seventeen parts were run for nothing. Classes that can do without some parts are admitted as before.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -102,7 +102,7 @@
 const PATIENCE_SAME: f64 = 0.99;
 const PATIENCE_SHARE: f64 = 0.15;
 const PATIENCE_VOTES: f64 = 8.0;
-/// How much of the way from the parts' mean forecast to the slowest's counts for admission.
+/// How far from the parts' mean forecast to the slowest's admission goes; where all are needed, all the way.
 const SLOWEST: f64 = 0.5;
 /// A tenant is over its share at this multiple of its even part of the quota: streams here are uneven.
 const QUOTA_SLACK: f64 = 1.3;
@@ -717,7 +717,7 @@
     // ---- refusals on arrival
 
     /// Whether a query can be served in time. Under load those that earn least for their work go first. The
-    /// slowest part counts in part: copies may get round one whose holders all have an attempt overdue.
+    /// slowest part counts in part where an answer may do without it.
     fn admit(&mut self, q: &mut Held) -> bool {
         let over_share = self.over_share(q.tenant);
         let class = &self.set.classes[q.class];
@@ -739,7 +739,8 @@
             density *= self.set.over_share_worth;
         }
         let limit = ADMIT.0 + (ADMIT.1 - ADMIT.0) * density / self.desk.best_density.max(f64::MIN_POSITIVE);
-        let finish = mean + SLOWEST * (slowest - mean);
+        let slow = if class.need >= 1.0 - ROUNDING { 1.0 } else { SLOWEST };
+        let finish = mean + slow * (slowest - mean);
         q.forecast = finish;
         // One that may still earn by a partial answer is worth more of a risk; a late one as to the lag only.
         // Nothing, where the client leaves before the aim: its repeats would fill the fleet with lost work.
--- a/crates/brookbend/tests/module.rs
+++ b/crates/brookbend/tests/module.rs
@@ -910,6 +910,22 @@
     assert_eq!(sends(&s.step(200.0, vec![])).len(), 1);
 }
 
+/// A mean over many parts hides the one server that makes the query late.
+#[test]
+fn a_query_that_needs_all_parts_is_refused_for_the_one_that_will_be_late() {
+    for (need, refused) in [(1.0, true), (0.8, false)] {
+        let class = Class { need, floor: need, ..class() };
+        let mut s = Stand::new(Settings { classes: vec![class], reach: 1, ..ring() }, 1);
+        for k in 0..30 {
+            let sent = sends(&s.ask(&format!("w{k}"), &[k % 6]));
+            let elapsed = if k % 6 == 0 { 1100.0 } else { 40.0 };
+            s.step(elapsed, sent.iter().map(|t| ended(&t.0, 0, Outcome::Served, elapsed)).collect());
+        }
+        let end = finals(&s.ask("q", &[0, 1, 2, 3, 4, 5]));
+        assert_eq!(!end.is_empty(), refused, "need {need}");
+    }
+}
+
 #[test]
 fn a_server_that_turns_all_away_is_passed_over_longer_each_time() {
     let mut s = Stand::new(ring(), 1);
