Pass a server that cannot be reached over by turns, and admit without it

An ejection lasted 0.7 aims at first and 4 aims, 2 s, at most. One of 100 brokers sends to a server about every 2 s, and met it dead each time. In sev4209, 70 brokers came back at 14 s with their first list, discovery answered many of them 503 until the end, and 28 servers of that list were replaced in a release:

A server that could not be reached is now passed over for one own turn there at least and eight at most, and counts as that far off for admission, so that a query whose part has no other holder is refused at once and not after its other parts ran. An answer ends it.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -56,6 +56,8 @@
 /// First ejection, and the longest, in multiples of the shortest aim: long enough to spare its queries.
 const EJECT_FIRST: f64 = 0.7;
 const EJECT_LONGEST: f64 = 4.0;
+/// One that cannot be reached is passed over for so many of our own turns there at the longest.
+const GONE_TURNS: f64 = 8.0;
 /// A connection lost says little of a server that has answered what was sent this share of the aim before.
 const ALIVE_AIM: f64 = 0.25;
 /// A server that turned a part away is passed over for this share of the shortest aim.
@@ -123,11 +125,11 @@
 const TELL_STEP: f64 = 1.0 / 128.0;
 /// Told in place of work: attempts here have just failed.
 const FAILING: u8 = 255;
-/// What another told counts for so many seconds: it may have died, and its next message may be lost.
+/// What another told counts for so many seconds: it may have died.
 const TOLD_SECONDS: f64 = 1.5;
 /// Reported work drains by this share of the server's pace: about half of what leaves is made up by new work.
 const DRAIN: f64 = 0.5;
-/// First and longest wait before the list is asked again, as shares of the time after which we count as told.
+/// First and longest wait before the list is asked again, as shares of the time until we count as told.
 const ASK: (f64, f64) = (0.03, 0.3);
 /// Share of a cold server's limit that all may use together: traffic comes in bursts, and part of it unseen.
 const COLD_SAFE: f64 = 0.75;
@@ -406,7 +408,7 @@
         let s = &self.fleet.servers[server];
         let oldest = s.flying.iter().find(|(sent, _)| *sent > s.last_served_sent);
         let late = oldest.map_or(0.0, |(sent, expected)| self.now - sent - expected).max(0.0);
-        let wait = late + (s.full_until - self.now).max(0.0);
+        let wait = late + (s.full_until.max(s.gone_until) - self.now).max(0.0);
         // Not heard for an aim: its zone's silence warns of it, so that a cut is not met at each server anew.
         let unheard = s.zone.filter(|_| s.heard < self.now - self.shortest_aim());
         let zone = unheard.and_then(|z| self.fleet.silence.get(&z)).copied().unwrap_or(0.0);
@@ -487,16 +489,14 @@
         let Some(s) = self.pick(q, i) else { return };
         // All holders are full: at once, the attempts that are left would be turned away within a moment.
         let wait = FULL_HOLD * self.shortest_aim() * q.pieces[i].tries.len() as f64;
-        if !out && age < wait && self.fleet.servers[s].full_until > self.now {
-            return;
-        }
+        let held = !out && age < wait && self.fleet.servers[s].full_until > self.now;
         let forecast = self.forecast(s, q.class, self.work(q, i) + self.call_work(s));
-        // A copy must come in time to count, and the overdue one be late by more than a copy takes: on a busy
-        // fleet copies then wait, on an idle one they go soon.
+        // A copy must come in time to count, and the overdue one be late by more than a copy takes.
         let piece = &q.pieces[i];
         let same = piece.tries.iter().any(|t| t.server == s && t.outcome.is_none());
         let soon = age <= expected.min(forecast) + COPY * forecast;
-        if out && (same || soon || !self.fit(s, 0.0) || self.now + forecast > self.useful_end(q)) {
+        let vain = same || soon || !self.fit(s, 0.0) || self.now + forecast > self.useful_end(q);
+        if held || out && vain {
             return;
         }
         if out && !self.set.second_copies {
@@ -506,7 +506,6 @@
                 return;
             }
             // One attempt at most may be out: this one is called off, and once that is reported another goes.
-            // To wait on would lose the query with a single answer that was lost or a single slow server.
             let attempt = piece.tries.len() as u32 - 1;
             return self.out.push(Action::Cancel { part: piece.id.clone(), attempt });
         }
@@ -524,9 +523,8 @@
         p.tries.last().is_some_and(|t| self.now - t.sent > t.expected.max(floor))
     }
 
-    /// One part after another broke its connection, more than were served: the query itself may
-    /// bring down each server that begins it. It is not tried further; with none served, it ends.
-    /// Also holds where a zone or many servers die at once: such queries come back later. Others go on.
+    /// One part after another broke its connection, more than were served: the query itself may bring down
+    /// each server that begins it. It is not tried further; with none served, it ends. Others go on.
     /// A server that has answered since is up: it lost that connection alone.
     fn spoiled(&self, q: &Held) -> bool {
         let silent = |t: &Try| self.fleet.servers[t.server].went_silent;
@@ -685,8 +683,8 @@
             Semantics::Keyed { window } => back < t.sent + window,
             Semantics::Unsafe => false,
         };
-        let query = id.clone();
         let all = q.pieces.iter().flat_map(|p| &p.tries).filter(ran).all(harmless);
+        let query = id.clone();
         self.out.push(if all { Action::Refuse { query, retry_after } } else { Action::Fail { query } });
         self.forget(q);
         true
@@ -745,7 +743,7 @@
             density *= self.set.over_share_worth;
         }
         let limit = ADMIT.0 + (ADMIT.1 - ADMIT.0) * density / self.desk.best_density.max(f64::MIN_POSITIVE);
-        let slow = if class.need >= 1.0 - ROUNDING { 1.0 } else { SLOWEST };
+        let slow = if class.need < 1.0 { SLOWEST } else { 1.0 };
         let finish = mean + slow * (slowest - mean);
         q.forecast = finish;
         // One that may still earn by a partial answer is worth more of a risk; a late one as to the lag only.
@@ -754,8 +752,8 @@
         let may = if class.floor < class.need { stays } else { 0.0 };
         let partial = may * class.partial_earns * class.floor / class.need.max(ROUNDING);
         let fallback = partial.max(stays * class.late_worth);
-        let limit = limit + (1.0 - limit) * partial;
         let left = (q.asked + class.aim).min(q.give_up_at) - self.now - self.second(q);
+        let limit = limit + (1.0 - limit) * partial;
         // Past its aim it is refused: it would earn the late worth at most.
         finish + self.learned[q.class].lag * (1.0 - fallback) <= limit * left
     }
@@ -783,8 +781,7 @@
         }
     }
 
-    /// A server's report of what it holds shows what others have out there. It is late and may be untrue: it
-    /// fills a few aims at most, drains with time, and no rule rests on it.
+    /// A server's report of what it holds is late and may be untrue: no rule rests on it.
     fn hear_load(&mut self, f: &Flight, load: Option<f64>) {
         let Some(held) = load else { return };
         let most = OVERDUE * self.shortest_aim() / self.fleet_pace.max(NEWS);
@@ -808,7 +805,8 @@
         let aim = self.shortest_aim();
         let jitter = 0.75 + 0.5 * self.dice.random();
         self.desk.untold.insert(f.server);
-        let full_hold = (FULL_HOLD * aim).max(FULL_TURN * self.turn()).min(EJECT_LONGEST * aim);
+        let turn = self.turn();
+        let full_hold = (FULL_HOLD * aim).max(FULL_TURN * turn).min(EJECT_LONGEST * aim);
         let s = &mut self.fleet.servers[f.server];
         s.work_out = (s.work_out - f.work).max(0.0);
         if let Some(k) = s.flying.iter().position(|(sent, e)| *sent == f.sent && *e == f.expected) {
@@ -857,6 +855,7 @@
                     s.cold_since = Some(self.now);
                 }
                 s.went_silent = false;
+                s.gone_until = f64::NEG_INFINITY;
                 let unit = &mut self.learned[f.class].unit;
                 *unit *= 1.0 + UNIT_STEP * if elapsed > *unit { UNIT_QUANTILE } else { UNIT_QUANTILE - 1.0 };
                 return;
@@ -894,8 +893,12 @@
         s.went_silent |= gone || outcome == Outcome::TimedOut;
         let failing = s.failures >= EJECT_RUN && s.errors > EJECT_SHARE;
         if (gone || failing) && self.now >= s.shun_until {
-            s.ejection = (s.ejection * 2.0).clamp(EJECT_FIRST * aim, EJECT_LONGEST * aim);
+            // Not reached at all: past the next turns of our own there, or each would meet it anew.
+            let turn = if gone { turn } else { 0.0 };
+            let (least, most) = (turn.max(EJECT_FIRST * aim), (GONE_TURNS * turn).max(EJECT_LONGEST * aim));
+            s.ejection = (s.ejection * 2.0).clamp(least, most);
             s.shun_until = self.now + s.ejection * jitter;
+            s.gone_until = if gone { s.shun_until } else { s.gone_until };
         }
     }
 
@@ -938,9 +941,8 @@
 
     // ---- what the other aggregators have out, where messages are allowed
 
-    /// Tells the others this one's work out at each server where it changed: each sees a small part of the
-    /// traffic, and a server that others have filled looks idle. Sums, not changes: the next message makes up
-    /// for a lost one.
+    /// Tells the others this one's work out at each server where it changed: a server that others have filled
+    /// looks idle. Sums, not changes: the next message makes up for a lost one.
     fn tell_others(&mut self) {
         if !self.set.messages || self.desk.untold.is_empty() || self.now < self.desk.tell_at {
             return;
--- a/crates/brookbend/src/state.rs
+++ b/crates/brookbend/src/state.rs
@@ -23,6 +23,8 @@
     /// Of each class: its own share of failures, and when its newest answered attempt was sent.
     pub(crate) of_class: BTreeMap<usize, OfClass>,
     pub(crate) shun_until: Ms,
+    /// Until when, since it could not be reached.
+    pub(crate) gone_until: Ms,
     /// Until when, since it turned a part away.
     pub(crate) full_until: Ms,
     pub(crate) ejection: Ms,
@@ -182,6 +184,7 @@
             failures: 0,
             of_class: BTreeMap::new(),
             shun_until: f64::NEG_INFINITY,
+            gone_until: f64::NEG_INFINITY,
             full_until: f64::NEG_INFINITY,
             ejection: 0.0,
             went_silent: false,
--- a/crates/brookbend/tests/module.rs
+++ b/crates/brookbend/tests/module.rs
@@ -912,6 +912,30 @@
     }
 }
 
+/// In sev4209 brokers with an old list met the same dead servers anew for ten seconds: each hold of at most two
+/// seconds was over by their next turn there.
+#[test]
+fn a_server_that_refuses_connections_is_passed_over_for_a_turn_of_our_own() {
+    let mut s = Stand::new(ring(), 1);
+    s.ask("q", &[0]);
+    s.step(5.0, vec![ended("q.0", 0, Outcome::NoConnection, 5.0)]);
+    let until = s.a.views(s.now).iter().find_map(|v| v.ejected_until).unwrap();
+    // Two units in 1.5 aims over six servers: a turn of 4.5 aims.
+    assert!(until - s.now > 3000.0, "called again after {} ms", until - s.now);
+}
+
+/// Seventeen parts of a query were run while the eighteenth had no holder that could be reached.
+#[test]
+fn a_query_is_refused_at_once_while_no_holder_of_a_part_can_be_reached() {
+    let mut s = Stand::new(Settings { reach: 1, max_attempts: 1, ..ring() }, 1);
+    s.ask("q", &[0]);
+    s.step(5.0, vec![ended("q.0", 0, Outcome::NoConnection, 5.0)]);
+    let actions = s.ask("next", &[0, 1]);
+    assert_eq!((sends(&actions), finals(&actions)), (vec![], vec![refused("next")]));
+    s.step(8000.0, vec![]);
+    assert_eq!(sends(&s.ask("later", &[0, 1])).len(), 2);
+}
+
 /// Three attempts at full servers within six milliseconds cost a query of 18 parts, 17 of them under way.
 #[test]
 fn a_part_that_all_holders_turn_away_is_not_tried_again_within_a_moment() {
