Admit by the slowest part, and end at the aim, only among many brokers

There a broker sees most of a server's load in its own answers, and its copies get round the slowest part.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -60,9 +60,8 @@
 const GONE_TURNS: f64 = 8.0;
 /// A connection lost says little of a server that has answered what was sent this share of the aim before.
 const ALIVE_AIM: f64 = 0.25;
-/// A server that turned a part away is passed over for this share of the shortest aim.
+/// One that turned a part away is passed over for this share of the shortest aim, and of our own turn there.
 const FULL_HOLD: f64 = 0.15;
-/// And for this share of the time between two parts of our own there: a shorter hold turns none away.
 const FULL_TURN: f64 = 0.5;
 
 /// An attempt is overdue at this many times its forecast, and this share of its class's aim: sooner, copies
@@ -106,14 +105,13 @@
 const PATIENCE_SAME: f64 = 0.99;
 const PATIENCE_SHARE: f64 = 0.15;
 const PATIENCE_VOTES: f64 = 8.0;
-/// How far from the parts' mean forecast to the slowest's admission goes; where all are needed, all the way.
+/// How far from the parts' mean forecast to the slowest's admission goes; all the way where copies are few.
 const SLOWEST: f64 = 0.5;
 /// A tenant is over its share at this multiple of its even part of the quota: streams here are uneven.
 const QUOTA_SLACK: f64 = 1.3;
 /// A batch this share of the aim after it was due: this aggregator itself stood still.
 const PAUSE_AIM: f64 = 0.05;
-/// Past the aim no work is worth its place in a queue for this share of a query's worth or less: a server
-/// full of it delays or turns away what would earn the whole.
+/// Past the aim, a query that earns this share or less would hold up others: many brokers then end it.
 const LATE_WORTH: f64 = 0.2;
 /// Ticks kept free before a client's time is up, for the way back and the batch in which it is seen.
 const REPLY_TICKS: f64 = 2.0;
@@ -131,7 +129,7 @@
 const DRAIN: f64 = 0.5;
 /// First and longest wait before the list is asked again, as shares of the time until we count as told.
 const ASK: (f64, f64) = (0.03, 0.3);
-/// Share of a cold server's limit that all may use together: traffic comes in bursts, and part of it unseen.
+/// Share of a cold server's limit that all may use together: traffic comes in bursts.
 const COLD_SAFE: f64 = 0.75;
 /// Sums of weights may fall this short: they are rounded on their way.
 const ROUNDING: f64 = 5e-5;
@@ -347,7 +345,6 @@
     }
 
     fn work(&self, q: &Held, i: usize) -> Ms {
-        // Hints may be off by several times: they shift the measured work of a part, within bounds.
         let unit = self.learned[q.class].unit;
         q.pieces[i].hint.map_or(unit, |hint| hint.clamp(unit / HINT_TRUST, unit * HINT_TRUST))
     }
@@ -430,7 +427,6 @@
         trial && self.now >= s.shun_until && self.cold_room(server, work)
     }
 
-    /// Whether a part for this server leaves our zone.
     fn crosses(&self, server: usize) -> bool {
         let zone = self.fleet.servers[server].zone;
         zone.is_some() && self.set.zone.is_some() && zone != self.set.zone
@@ -551,8 +547,7 @@
     /// is set, so that retries and second copies cannot feed an overload.
     fn budget_left(&mut self, copy: bool) -> bool {
         let span = OWN_SPAN_AIMS * self.shortest_aim();
-        // A few brokers see most of a server's load in their own answers; of many, each is nearly blind.
-        let seen = if copy { (COPY_SEES / self.set.aggregators.max(1) as f64).min(1.0) } else { 1.0 };
+        let seen = if copy { self.seen() } else { 1.0 };
         let per_request = if copy { (OWN_SHARE * seen).max(COPY_SHARE) } else { OWN_SHARE };
         let own = AttemptBudget { spare: OWN_SPARE * seen, per_request, span };
         let rule = self.set.budget.unwrap_or(own);
@@ -591,7 +586,11 @@
     fn useful_end(&self, q: &Held) -> Ms {
         let class = &self.set.classes[q.class];
         let slack = REPLY_TICKS * self.set.tick;
-        let end = if class.late_worth > LATE_WORTH { q.give_up_at } else { q.asked + class.aim };
+        let end = if class.late_worth > LATE_WORTH * (1.0 - self.seen()) {
+            q.give_up_at
+        } else {
+            q.asked + class.aim
+        };
         end.min(q.give_up_at) - slack
     }
 
@@ -743,7 +742,7 @@
             density *= self.set.over_share_worth;
         }
         let limit = ADMIT.0 + (ADMIT.1 - ADMIT.0) * density / self.desk.best_density.max(f64::MIN_POSITIVE);
-        let slow = if class.need < 1.0 { SLOWEST } else { 1.0 };
+        let slow = if class.need < 1.0 { SLOWEST } else { 1.0 - (1.0 - SLOWEST) * self.seen() };
         let finish = mean + slow * (slowest - mean);
         q.forecast = finish;
         // One that may still earn by a partial answer is worth more of a risk; a late one as to the lag only.
@@ -754,7 +753,6 @@
         let fallback = partial.max(stays * class.late_worth);
         let left = (q.asked + class.aim).min(q.give_up_at) - self.now - self.second(q);
         let limit = limit + (1.0 - limit) * partial;
-        // Past its aim it is refused: it would earn the late worth at most.
         finish + self.learned[q.class].lag * (1.0 - fallback) <= limit * left
     }
 
@@ -834,7 +832,6 @@
         let width = &mut self.learned[f.class].width;
         match outcome {
             Outcome::NotSent => return,
-            // Seen late, since this aggregator stood still: no news of the server.
             Outcome::TimedOut if self.desk.stood => return,
             Outcome::Cancelled if !silent => return,
             Outcome::Served => {
@@ -909,6 +906,11 @@
         span * self.fleet.rows.servers() as f64 / taken.max(1) as f64
     }
 
+    /// A few brokers see most of a server's load in their own answers; of many, each is nearly blind.
+    fn seen(&self) -> f64 {
+        (COPY_SEES / self.set.aggregators.max(1) as f64).min(1.0)
+    }
+
     fn shortest_aim(&self) -> Ms {
         self.set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min).min(1e9)
     }
