--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -820,7 +820,6 @@
             let share = self.fleet.silence.entry(zone).or_default();
             *share += ZONE_NEWS * (f64::from(u8::from(quiet)) - *share);
         }
-        // A server may fail one class and serve the others, whose answers then hide it: its own record.
         let own = s.of_class.entry(f.class).or_default();
         let lost = overdue && f.sent > own.last_served_sent && outcome != Outcome::Served;
         if lost || outcome == Outcome::Error {
