--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -80,10 +80,10 @@
 const OWN_SPARE: f64 = 6.0;
 const OWN_SHARE: f64 = 0.3;
 const OWN_SPAN_AIMS: f64 = 1.5;
-/// Among more aggregators than this, copies have a smaller budget, down to the slowest twentieth of parts:
+/// Among more aggregators than this, copies have a smaller budget, down to the slowest tenth of parts:
 /// they add up, and go to servers of whose load one among many knows nothing.
 const COPY_SEES: f64 = 4.0;
-const COPY_SHARE: f64 = 0.05;
+const COPY_SHARE: f64 = 0.1;
 
 /// A query is refused on arrival when its forecast passes this share of its time: least and most, by worth.
 const ADMIT: (f64, f64) = (0.5, 0.75);
