Take a list whose answer ends with its connection, and none that a reset cut off

An answer without a length was refused as unreadable (Fault::LengthRequired in decode.rs), so that a change told that way was never learned, however often it was asked for again. RFC 9112, section 6.3: such a response ends with its connection. The decoder now takes it at the end of the stream; a reset is an error of the socket and never comes to that.

--- a/crates/broker/src/discovery.rs
+++ b/crates/broker/src/discovery.rs
@@ -124,7 +124,8 @@
             Step::Whole(message) => return Ok(message),
             Step::More(_) => {
                 if read_some(stream, input).await? == 0 {
-                    return Err(io::ErrorKind::UnexpectedEof.into());
+                    // A reset is an error of its own, so that this is the end that some answers go by.
+                    return decoder.end().ok_or_else(|| io::ErrorKind::UnexpectedEof.into());
                 }
             }
         }
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -18,6 +18,8 @@
 pub(crate) enum Framing {
     Length(u64),
     Chunked,
+    /// It ends with its connection, as only a response may (section 6.3).
+    Close,
 }
 
 /// A body on its way in.
@@ -39,6 +41,8 @@
     /// The line's end after a chunk's data.
     ChunkEnd,
     Trailer,
+    /// All that comes until the connection ends.
+    Rest,
     Done,
 }
 
@@ -48,6 +52,7 @@
             Framing::Length(length) if length > cap as u64 => return Err(Fault::BodyTooLong),
             Framing::Length(length) => Phase::Length(length as usize),
             Framing::Chunked => Phase::ChunkLine,
+            Framing::Close => Phase::Rest,
         };
         Ok(Body { phase, cap, overhead: 0, data: Vec::new() })
     }
@@ -99,12 +104,24 @@
                     }
                     None => return Ok((at, false)),
                 },
+                Phase::Rest => {
+                    if rest.len() > self.cap - self.data.len() {
+                        return Err(Fault::BodyTooLong);
+                    }
+                    self.append(rest);
+                    return Ok((input.len(), false));
+                }
                 Phase::Done => return Ok((at, true)),
             };
             at += used;
         }
     }
 
+    /// The connection has ended in order. Whether that makes the body whole.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        matches!(self.phase, Phase::Rest)
+    }
+
     fn append(&mut self, bytes: &[u8]) {
         if self.data.capacity() - self.data.len() < bytes.len() {
             self.data.reserve_exact(bytes.len().max(STEP));
--- a/crates/http1/src/decode.rs
+++ b/crates/http1/src/decode.rs
@@ -73,7 +73,7 @@
     }
 }
 
-/// Decodes the responses of one connection, one after another; each says where its body ends.
+/// Decodes the responses of one connection, one after another; the last may end with it.
 #[derive(Debug)]
 pub struct ResponseDecoder {
     limits: Limits,
@@ -99,6 +99,13 @@
         }
         step_body(&mut self.begun, input, |r| r.body_mut())
     }
+
+    /// The connection has ended in order, not by a reset: the response that ends with it, if one was on its way.
+    pub fn end(&mut self) -> Option<Message<Response<Vec<u8>>>> {
+        let mut begun = self.begun.take().filter(|b| b.body.ends_with_connection())?;
+        *begun.value.body_mut() = begun.body.data;
+        Some(Message { value: begun.value, keep_alive: false })
+    }
 }
 
 fn step_body<T>(
@@ -188,9 +195,7 @@
     let bodiless = status.is_informational() || [204, 304].contains(&status.as_u16());
     let framing = match head::framing(&fields, version)? {
         _ if bodiless => Framing::Length(0),
-        // One that ends with its connection (section 6.3) can't be told from one that was cut off.
-        None => return Err(Fault::LengthRequired),
-        Some(framing) => framing,
+        framing => framing.unwrap_or(Framing::Close),
     };
     let keep_alive = head::keeps_alive(&fields, version);
     let mut value = Response::new(Vec::new());
--- a/crates/ploverport/tests/scenarios.rs
+++ b/crates/ploverport/tests/scenarios.rs
@@ -21,7 +21,7 @@
 //! expect d|e REV|whole         a watch from this version on, or a call for the whole list
 //! expect log WORD ...          a line of the log that holds these words
 //! expect cN|sN closed          expect exit
-//! close cN|sN|d|e              wait MILLISECONDS              signal NAME
+//! close|reset cN|sN|d|e        wait MILLISECONDS              signal NAME
 //! within MILLISECONDS STEP     the step takes no longer than that
 //! config d|e|none|TEXT         the file is replaced by one that names this discovery or holds TEXT, or removed
 //! ```
@@ -211,6 +211,10 @@
                         }
                     }
                     ["close", who] => drop(self.peers.remove(*who)),
+                    ["reset", who] => {
+                        let peer = self.peers.remove(*who).unwrap();
+                        rustix::net::sockopt::set_socket_linger(&peer.stream, Some(Duration::ZERO)).unwrap();
+                    }
                     ["wait", ms] => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
                     ["signal", name] => {
                         let pid = self.program.as_ref().unwrap().child.id().to_string();
