Do not take changes older than the list in force, ask for the whole list instead

Ruled out: answers of an old connection or address, since a watch is dropped with its connection, and the reload's new watch before any further answer of the old one can be put in.

--- a/crates/broker/src/discovery.rs
+++ b/crates/broker/src/discovery.rs
@@ -100,12 +100,18 @@
             return Err(io::Error::other(format!("status {}", message.value.status())));
         }
         let targets: Targets = serde_json::from_slice(message.value.body()).map_err(io::Error::other)?;
-        *rev = Some(targets.rev);
+        if let Some(why) = misfit(&targets, *rev) {
+            // It answers something else, as one that lost its data or lags behind: the whole list tells.
+            *rev = None;
+            return Err(io::Error::other(why));
+        }
+        let news = rev.replace(targets.rev) != Some(targets.rev);
         *back_off = BACK_OFF.0;
         if targets.all || !targets.targets.is_empty() {
             inbox.put(Input::Targets(targets));
-        } else if called.elapsed() < WAIT / 2 {
-            // An empty answer before its time: asked again at once, such a server would cost the whole core.
+        }
+        if !news && called.elapsed() < WAIT / 2 {
+            // Nothing new before its time: asked again at once, such a server would cost the whole core.
             Timer::after(BACK_OFF.0).await;
         }
         if !message.keep_alive {
@@ -114,6 +120,15 @@
     }
 }
 
+/// Why these targets are no answer to a watch from this version on, or to a call for the whole list.
+fn misfit(targets: &Targets, rev: Option<u64>) -> Option<&'static str> {
+    match rev {
+        Some(rev) if targets.rev < rev => Some("a list older than the one in force"),
+        None if !targets.all => Some("changes in place of the whole list"),
+        _ => None,
+    }
+}
+
 async fn answer(
     stream: &Async<TcpStream>,
     decoder: &mut ResponseDecoder,
