Read a configuration again that could not be read, a second after

The standing test says of an unreadable configuration that it is asked for again within 6 s. reload() in turns.rs logged reload_failed and left it at that: a SIGHUP that met a file half written left the broker with the old discovery, which ends its watches 1.5 s later, for ever. The moment of the next reading is now kept, set by the signal and by each failure. Reading comes after the turn's other news, so that nothing of the old address can follow it. Without the mend the test's new discovery is never called (30 s).

--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -28,6 +28,10 @@
 /// After a request to end, new connections are taken for this long: fronts notice late.
 const LEAVING: Micros = 600_000;
 
+/// A configuration that cannot be read is read again after this: it may have been caught half written, and what it
+/// names counts within seconds.
+const REREAD: Micros = 1_000_000;
+
 /// What the decisions go by is logged this often: seldom enough for a log of weeks.
 const TELL_EVERY: Micros = 5_000_000;
 
@@ -50,6 +54,8 @@
     dispatches: BTreeMap<AttemptId, Dispatch>,
     ended: Vec<Ended>,
     leaving_since: Option<Micros>,
+    /// When to read the configuration again.
+    reload_at: Option<Micros>,
     /// When to log next what the decisions go by.
     tell_at: Micros,
 }
@@ -112,6 +118,7 @@
         dispatches: BTreeMap::new(),
         ended: Vec::new(),
         leaving_since: None,
+        reload_at: None,
         tell_at: 0,
     };
     broker.learn(clock.now(), ListScope::Known, &config.known);
@@ -147,6 +154,7 @@
                 Some(self.core.due()),
                 Some(self.upstream.due()),
                 leaving.filter(|at| now < *at),
+                self.reload_at,
                 closing,
                 ended,
             ];
@@ -184,10 +192,13 @@
                 }
                 Input::Line(id, event) => self.upstream.hear(now, id, event),
                 Input::Targets(targets) => self.learn(now, targets.scope(), &targets),
-                Input::Reload => self.reload(),
+                Input::Reload => self.reload_at = Some(now),
                 Input::Terminate => self.terminate(now),
             }
         }
+        if self.reload_at.take_if(|at| now >= *at).is_some() {
+            self.reload(now);
+        }
         let reports = self.take_reports(now);
         let decisions = self.core.report(now, reports);
         self.carry_out(now, decisions);
@@ -235,8 +246,8 @@
     }
 
     /// Takes the configuration and the operator's file as they are now: both or none. A file that is missing or
-    /// faulty leaves all as it was: a slip of the pen must not end a broker that serves.
-    fn reload(&mut self) {
+    /// faulty leaves all as it was: a slip of the pen must not end a broker that serves. It is read again later.
+    fn reload(&mut self, now: Micros) {
         let read = || -> Result<_, String> {
             let config = config::reread(config::environment)?;
             let settings = self.operator.reread()?;
@@ -253,7 +264,10 @@
                 info!(name: "reloaded", discovery = %discovery);
                 self.discovery.move_to(discovery);
             }
-            Err(error) => warn!(name: "reload_failed", error = %error),
+            Err(error) => {
+                warn!(name: "reload_failed", error = %error);
+                self.reload_at = Some(now + REREAD);
+            }
         }
     }
 
