Fix a part's frame as it is written, not as it is chosen: its time is that left by then

Found by reading, and shown by a test with a dial that comes up late: a part of 20 s was told d=19990 more than a second after it came. call() in upstream/mod.rs computed the time told at the dispatch, though the frame may wait for a dial (up to the dial time-out, 0.25 s here) or behind a full socket without bound; and Line::next handed a frame over before the socket had room, so that from then on neither a drain nor a client's leaving could take it back, of which not a byte was out (a send counts from its first). The time is now told as the frame begins; a frame of which the socket takes nothing goes back to what waits; parts with no time left are left out and blame no server whose connection is up. Ruled out: a wrong base of the time itself, since the first attempt on an open connection told what was left. The pool's inline tests move to a file of their own, unchanged but for the names of what they call.

--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -111,7 +111,7 @@
         clients: config.clients,
         queries: Queries::new(&config.settings, config.max_open),
         core: Core::new(config.settings, config.max_open, config.seed),
-        upstream: Upstream::new(executor.clone(), inbox.clone(), config.pool),
+        upstream: Upstream::new(executor.clone(), inbox.clone(), clock, config.pool),
         discovery: Discovery::start(executor.clone(), inbox.clone(), config.discovery, rev, config.seed),
         inbox,
         fronts: Fronts::start(shared, plan, clock, executor.clone()),
--- a/crates/broker/src/upstream/line.rs
+++ b/crates/broker/src/upstream/line.rs
@@ -1,6 +1,6 @@
 //! One connection to a data server: what waits to be written, and the task that writes and reads.
 
-use crate::clock::limited;
+use crate::clock::{Clock, limited};
 use crate::inbox::{Inbox, Input, LineEvent};
 use crate::net::read_some;
 use async_channel::{Receiver, Sender};
@@ -8,10 +8,10 @@
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncWriteExt, FutureExt};
 use plover_frames::{self as frame, PartLine};
-use plover_model::time::Micros;
+use plover_model::time::{MILLI, Micros};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, VecDeque};
-use std::io;
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +20,8 @@
 pub(super) struct Outgoing {
     pub(super) wire: String,
     pub(super) shard: usize,
-    pub(super) wait_ms: u64,
+    /// When the broker stops waiting for it. How long that is gets told as it is written.
+    pub(super) until: Micros,
     pub(super) key: Option<Rc<str>>,
     pub(super) text: Rc<str>,
 }
@@ -33,19 +34,29 @@
     GiveUp(String),
 }
 
-/// What waits to be written to one connection.
+/// What waits to be written to one connection. It can be taken back until the socket has taken its first byte.
 pub(super) struct Line {
     waiting: RefCell<VecDeque<Item>>,
+    /// Parts whose time was over before they could be written.
+    lapsed: RefCell<BTreeSet<String>>,
     /// The parts of the frame that is being written; a giving up has none.
     writing: RefCell<Option<Vec<String>>>,
+    /// The socket takes nothing.
+    blocked: Cell<bool>,
     bell: (Sender<()>, Receiver<()>),
     up: Cell<bool>,
 }
 
 impl Default for Line {
     fn default() -> Self {
-        let bell = async_channel::bounded(1);
-        Line { waiting: RefCell::default(), writing: RefCell::default(), bell, up: Cell::new(false) }
+        Line {
+            waiting: RefCell::default(),
+            lapsed: RefCell::default(),
+            writing: RefCell::default(),
+            blocked: Cell::new(false),
+            bell: async_channel::bounded(1),
+            up: Cell::new(false),
+        }
     }
 }
 
@@ -57,7 +68,7 @@
 
     /// Takes back a part of which no byte is written. False if it is too late.
     pub(super) fn withdraw(&self, wire: &str) -> bool {
-        let mut taken = false;
+        let mut taken = self.lapsed.borrow_mut().remove(wire);
         self.waiting.borrow_mut().retain_mut(|item| match item {
             Item::Call(parts) => {
                 let before = parts.len();
@@ -72,7 +83,7 @@
 
     /// Takes back all parts of which no byte is written.
     pub(super) fn withdraw_all(&self) -> Vec<String> {
-        let mut taken = Vec::new();
+        let mut taken: Vec<String> = std::mem::take(&mut *self.lapsed.borrow_mut()).into_iter().collect();
         self.waiting.borrow_mut().retain_mut(|item| match item {
             Item::Call(parts) => {
                 taken.extend(parts.drain(..).map(|p| p.wire));
@@ -90,8 +101,8 @@
             Item::Call(parts) => parts.as_slice(),
             Item::GiveUp(_) => &[],
         });
-        let writing = self.writing.borrow();
-        parts.map(|p| &p.wire).chain(writing.iter().flatten()).cloned().collect()
+        let (writing, lapsed) = (self.writing.borrow(), self.lapsed.borrow());
+        parts.map(|p| &p.wire).chain(writing.iter().flatten()).chain(lapsed.iter()).cloned().collect()
     }
 
     /// Whether the connection had come up.
@@ -99,9 +110,9 @@
         self.up.get()
     }
 
-    /// Whether a frame is being written that the socket does not take: between turns the task has had its time.
+    /// Whether the socket does not take what waits for it: between turns the task has had its time.
     pub(super) fn is_stuck(&self) -> bool {
-        self.writing.borrow().is_some()
+        self.blocked.get() || self.writing.borrow().is_some()
     }
 
     /// The frame that was being written is out.
@@ -109,38 +120,64 @@
         *self.writing.borrow_mut() = None;
     }
 
-    /// The next frame to write.
-    pub(super) async fn next(&self) -> Vec<u8> {
+    /// Waits until something is to be written.
+    async fn something(&self) {
+        while self.waiting.borrow().is_empty() {
+            let _ = self.bell.1.recv().await;
+        }
+    }
+
+    /// Begins the next frame, as of this moment: what it tells of times holds now, and parts whose time is over are
+    /// left out. `None`: nothing is left to be written.
+    pub(super) fn begin(&self, now: Micros) -> Option<(Item, Vec<u8>)> {
         loop {
-            if let Some(item) = self.waiting.borrow_mut().pop_front() {
-                return match item {
-                    Item::GiveUp(wire) => {
-                        *self.writing.borrow_mut() = Some(Vec::new());
-                        frame::give_up(&wire)
-                    }
-                    Item::Call(parts) => {
-                        *self.writing.borrow_mut() = Some(parts.iter().map(|p| p.wire.clone()).collect());
-                        frame::call(parts.iter().map(|p| PartLine {
-                            id: &p.wire,
-                            shard: p.shard,
-                            wait_ms: p.wait_ms,
-                            key: p.key.as_deref(),
-                            text: &p.text,
-                        }))
+            let mut item = self.waiting.borrow_mut().pop_front()?;
+            let frame = match &mut item {
+                Item::GiveUp(wire) => frame::give_up(wire),
+                Item::Call(parts) => {
+                    let over = |p: &mut Outgoing| p.until < now + MILLI;
+                    self.lapsed.borrow_mut().extend(parts.extract_if(.., over).map(|p| p.wire));
+                    if parts.is_empty() {
+                        continue;
                     }
-                };
-            }
-            let _ = self.bell.1.recv().await;
+                    frame::call(parts.iter().map(|p| PartLine {
+                        id: &p.wire,
+                        shard: p.shard,
+                        wait_ms: p.until.saturating_sub(now) / MILLI,
+                        key: p.key.as_deref(),
+                        text: &p.text,
+                    }))
+                }
+            };
+            let parts = match &item {
+                Item::GiveUp(_) => Vec::new(),
+                Item::Call(parts) => parts.iter().map(|p| p.wire.clone()).collect(),
+            };
+            *self.writing.borrow_mut() = Some(parts);
+            return Some((item, frame));
         }
     }
+
+    /// Puts back a frame of which the socket took nothing.
+    fn put_back(&self, item: Item) {
+        *self.writing.borrow_mut() = None;
+        self.waiting.borrow_mut().push_front(item);
+    }
 }
 
 /// Dials, writes and reads until the connection ends, then says so.
-pub(super) async fn run(id: u64, endpoint: SocketAddr, dial: Micros, line: Rc<Line>, inbox: Rc<Inbox>) {
+pub(super) async fn run(
+    id: u64,
+    endpoint: SocketAddr,
+    dial: Micros,
+    line: Rc<Line>,
+    inbox: Rc<Inbox>,
+    clock: Clock,
+) {
     let end = match limited(Duration::from_micros(dial), Async::<TcpStream>::connect(endpoint)).await {
         Ok(stream) => {
             line.up.set(true);
-            let written = async { LineEvent::Down(write(&stream, &line).await) };
+            let written = async { LineEvent::Down(write(&stream, &line, clock).await) };
             let read = async { read(&stream, id, &inbox).await.unwrap_or_else(LineEvent::Down) };
             written.or(read).await
         }
@@ -150,16 +187,36 @@
 }
 
 /// Writes until that fails.
-async fn write(mut stream: &Async<TcpStream>, line: &Line) -> io::Error {
+pub(super) async fn write(mut stream: &Async<TcpStream>, line: &Line, clock: Clock) -> io::Error {
     if let Err(error) = stream.get_ref().set_nodelay(true) {
         return error;
     }
     loop {
-        let frame = line.next().await;
-        if let Err(error) = stream.write_all(&frame).await {
-            return error;
+        line.something().await;
+        let Some((item, frame)) = line.begin(clock.now()) else { continue };
+        let taken = match stream.get_ref().write(&frame) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                line.put_back(item);
+                line.blocked.set(true);
+                let writable = stream.writable().await;
+                line.blocked.set(false);
+                writable.map(|()| None)
+            }
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {
+                line.put_back(item);
+                Ok(None)
+            }
+            taken => taken.map(Some),
+        };
+        let written = match taken {
+            Ok(Some(taken)) => stream.write_all(&frame[taken..]).await,
+            Ok(None) => continue,
+            Err(error) => Err(error),
+        };
+        match written {
+            Ok(()) => line.written(),
+            Err(error) => return error,
         }
-        line.written();
     }
 }
 
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -6,6 +6,7 @@
 
 mod line;
 
+use crate::clock::Clock;
 use crate::inbox::{Inbox, LineEvent};
 use async_executor::{LocalExecutor, Task};
 use line::{Item, Line, Outgoing};
@@ -13,7 +14,7 @@
 use plover_model::limits::PoolLimits;
 use plover_model::query::AttemptId;
 use plover_model::server::{NodeId, Outcome};
-use plover_model::time::{MILLI, Micros};
+use plover_model::time::Micros;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -97,6 +98,7 @@
 pub struct Upstream {
     executor: Rc<LocalExecutor<'static>>,
     inbox: Rc<Inbox>,
+    clock: Clock,
     limits: PoolLimits,
     servers: BTreeMap<NodeId, Server>,
     conns: BTreeMap<u64, Conn>,
@@ -108,10 +110,16 @@
 
 impl Upstream {
     /// Pools without servers.
-    pub fn new(executor: Rc<LocalExecutor<'static>>, inbox: Rc<Inbox>, limits: PoolLimits) -> Self {
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        inbox: Rc<Inbox>,
+        clock: Clock,
+        limits: PoolLimits,
+    ) -> Self {
         Upstream {
             executor,
             inbox,
+            clock,
             limits,
             servers: BTreeMap::new(),
             conns: BTreeMap::new(),
@@ -182,8 +190,7 @@
             self.deadlines.insert((s.until, s.attempt));
             let flight = Flight { conn: id, wire: s.wire.clone(), sent: now, until: s.until };
             self.flights.insert(s.attempt, flight);
-            let wait_ms = (s.until.saturating_sub(now) / MILLI).max(1);
-            parts.push(Outgoing { wire: s.wire, shard: s.shard, wait_ms, key: s.key, text: s.text });
+            parts.push(Outgoing { wire: s.wire, shard: s.shard, until: s.until, key: s.key, text: s.text });
         }
         conn.line.put(Item::Call(parts));
     }
@@ -210,7 +217,8 @@
         let id = self.next_conn;
         self.next_conn += 1;
         let line = Rc::new(Line::default());
-        let task = line::run(id, endpoint, self.limits.dial_timeout, line.clone(), self.inbox.clone());
+        let task =
+            line::run(id, endpoint, self.limits.dial_timeout, line.clone(), self.inbox.clone(), self.clock);
         let conn = Conn {
             server: name.clone(),
             line,
@@ -258,8 +266,14 @@
                 return self.lose(now, id);
             }
         }
-        // Still on this side when its time ended: never ran. The wait was for a connection that did not come up.
-        let outcome = if unsent && outcome == Outcome::TimedOut { Outcome::NoConnection } else { outcome };
+        // Still on this side when its time ended: never ran. The wait was for a connection that did not come up or
+        // takes nothing, unless there was none.
+        let waited = self.conns.get(&id).is_none_or(|c| !c.line.was_up() || c.line.is_stuck());
+        let outcome = match outcome {
+            Outcome::TimedOut if unsent && waited => Outcome::NoConnection,
+            Outcome::TimedOut if unsent => Outcome::NotSent,
+            outcome => outcome,
+        };
         self.end(now, attempt, outcome, None, None);
     }
 
@@ -420,249 +434,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::inbox::Input;
-    use futures_lite::future::{block_on, yield_now};
-    use std::net::TcpListener;
-
-    const SECOND: Micros = 1_000_000;
-
-    fn pool(limits: PoolLimits) -> (Upstream, TcpListener) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut pool = Upstream::new(Rc::default(), Rc::default(), limits);
-        pool.learn(0, server(), Some(listener.local_addr().unwrap()));
-        (pool, listener)
-    }
-
-    fn limits() -> PoolLimits {
-        let (dial_timeout, keepalive) = (SECOND / 4, 15 * SECOND);
-        PoolLimits { sockets: 10, batch: 2, multiplex: 4, dial_timeout, keepalive }
-    }
-
-    fn server() -> NodeId {
-        NodeId("s0".into())
-    }
-
-    fn sends(query: u64, parts: usize) -> Vec<Send> {
-        let send = |part| Send {
-            attempt: AttemptId { query, part, attempt: 0 },
-            server: server(),
-            until: SECOND,
-            wire: format!("q{query}.{part}"),
-            shard: part,
-            key: None,
-            text: "c41e77d0".into(),
-        };
-        (0..parts).map(send).collect()
-    }
-
-    fn outcomes(pool: &mut Upstream, now: Micros) -> Vec<Outcome> {
-        pool.take_ended(now).iter().map(|e| e.outcome).collect()
-    }
-
-    fn broken() -> LineEvent {
-        LineEvent::Down(std::io::ErrorKind::ConnectionReset.into())
-    }
-
-    fn answer(wire: &str) -> LineEvent {
-        let (id, outcome, held) = (wire.to_owned(), Outcome::Served, Some(1.0));
-        LineEvent::Frame(FromServer::Answer { id, outcome, held, value: "v".to_owned() })
-    }
-
-    #[test]
-    fn calls_are_spread_over_a_few_connections_and_an_idle_one_is_used_again() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 3));
-        assert_eq!(pool.open(), 2);
-        pool.hear(10, 1, answer("q1.2"));
-        pool.dispatch(20, sends(2, 1));
-        assert_eq!((pool.open(), pool.conns[&1].out.len()), (2, 1));
-        (3..20).for_each(|query| pool.dispatch(30, sends(query, 1)));
-        assert_eq!(pool.conns.values().map(|c| c.out.len()).collect::<Vec<_>>(), [4; 5]);
-    }
-
-    /// A server may close a connection right after its answer: the one that rested longest is the safest.
-    #[test]
-    fn of_idle_connections_the_one_that_rested_longest_is_used() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 3));
-        for (now, id, wire) in [(10, 1, "q1.2"), (20, 0, "q1.1"), (30, 0, "q1.0")] {
-            pool.hear(now, id, answer(wire));
-        }
-        pool.dispatch(40, sends(2, 1));
-        assert_eq!(pool.conns[&1].out.len(), 1);
-    }
-
-    /// The end of a connection that had come up is no news of whether its server can be reached.
-    #[test]
-    fn what_waits_behind_a_connection_that_was_up_is_not_sent() {
-        let (mut pool, _listener) = pool(PoolLimits { sockets: 1, ..limits() });
-        pool.dispatch(0, sends(1, 1));
-        let (executor, line) = (pool.executor.clone(), pool.conns[&0].line.clone());
-        let written = async {
-            while !line.unwritten().is_empty() {
-                yield_now().await;
-            }
-        };
-        async_io::block_on(executor.run(written));
-        pool.dispatch(10, sends(2, 1));
-        pool.hear(20, 0, broken());
-        assert_eq!(outcomes(&mut pool, 30), [Outcome::ConnectionLost, Outcome::NotSent]);
-    }
-
-    fn outcomes_of_spoilt(event: LineEvent, sent: usize) -> (Vec<Outcome>, usize) {
-        let (mut pool, _listener) = pool(PoolLimits { batch: 4, ..limits() });
-        pool.dispatch(0, sends(1, sent));
-        block_on(pool.conns[&0].line.next());
-        pool.conns[&0].line.written();
-        pool.hear(10, 0, event);
-        (outcomes(&mut pool, 20), pool.open())
-    }
-
-    /// An answer for what is not out stands in the place of one that will not come: it must not be waited for.
-    /// It is one failure of the server, whatever else was out on the connection, and none of a query's own.
-    #[test]
-    fn a_spoilt_answer_fails_one_attempt_and_closes_its_connection() {
-        for event in [answer("q7.0"), LineEvent::Bad(plover_frames::BadFrame("noise"))] {
-            let outcomes = outcomes_of_spoilt(event, 3);
-            assert_eq!(outcomes, (vec![Outcome::Error, Outcome::Cancelled, Outcome::Cancelled], 0));
-        }
-    }
-
-    /// A second copy or noise after a good answer fails nothing, but nobody can tell what else would come.
-    #[test]
-    fn surplus_after_a_good_answer_closes_the_connection_and_fails_nothing() {
-        for surplus in [answer("q1.0"), LineEvent::Begun, LineEvent::Bad(plover_frames::BadFrame("noise"))] {
-            let (mut pool, _listener) = pool(limits());
-            pool.dispatch(0, sends(1, 1));
-            pool.hear(10, 0, answer("q1.0"));
-            pool.hear(10, 0, surplus);
-            assert_eq!((outcomes(&mut pool, 20), pool.open()), (vec![Outcome::Served], 0));
-        }
-    }
-
-    /// The answer to what was given up may cross the giving up: it spoils nothing, but counts only once.
-    #[test]
-    fn a_late_answer_to_what_was_given_up_is_passed_over() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 2));
-        block_on(pool.conns[&0].line.next());
-        pool.conns[&0].line.written();
-        pool.give_up(10, AttemptId { query: 1, part: 0, attempt: 0 });
-        pool.hear(20, 0, answer("q1.0"));
-        assert_eq!((outcomes(&mut pool, 20), pool.open()), (vec![Outcome::Cancelled], 1));
-        pool.hear(30, 0, answer("q1.0"));
-        assert_eq!((outcomes(&mut pool, 30), pool.open()), (vec![Outcome::Error], 0));
-    }
-
-    /// A length that does not fit promises bytes that never come: the attempt must not wait for its whole time.
-    #[test]
-    fn a_frame_that_does_not_go_on_is_spoilt() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 1));
-        block_on(pool.conns[&0].line.next());
-        pool.conns[&0].line.written();
-        pool.hear(10, 0, LineEvent::Begun);
-        assert_eq!(pool.due(), 10 + limits().dial_timeout);
-        pool.sweep(9 + limits().dial_timeout);
-        assert_eq!(pool.open(), 1);
-        pool.sweep(10 + limits().dial_timeout);
-        assert_eq!((outcomes(&mut pool, SECOND / 2), pool.open()), (vec![Outcome::Error], 0));
-    }
-
-    /// Every dispatched attempt ends, also where no descriptor is left for it.
-    #[test]
-    fn with_no_descriptor_left_an_idle_connection_makes_room_or_the_attempt_ends() {
-        let (mut pool, listener) = pool(PoolLimits { sockets: 1, ..limits() });
-        pool.dispatch(0, sends(1, 1));
-        let other = NodeId("s1".into());
-        pool.learn(0, other.clone(), Some(listener.local_addr().unwrap()));
-        let to_other =
-            |query| sends(query, 1).into_iter().map(|s| Send { server: other.clone(), ..s }).collect();
-        pool.dispatch(0, to_other(2));
-        assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection]);
-        pool.hear(10, 0, answer("q1.0"));
-        pool.dispatch(20, to_other(3));
-        assert_eq!((outcomes(&mut pool, 30), pool.open()), (vec![Outcome::Served], 1));
-    }
-
-    /// A part that crosses the server's closing of an idle connection would end as a reset.
-    #[test]
-    fn idle_connections_are_closed_before_the_server_does() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 1));
-        pool.hear(100, 0, answer("q1.0"));
-        pool.sweep(11 * SECOND);
-        assert_eq!(pool.open(), 1);
-        pool.sweep(12 * SECOND);
-        assert_eq!(pool.open(), 0);
-    }
-
-    /// Within the drain's grace nothing may go out, not even what waited for a connection when it began.
-    #[test]
-    fn what_waits_for_a_server_that_leaves_is_taken_back() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 2));
-        pool.learn(10, server(), None);
-        assert_eq!(outcomes(&mut pool, 30), [Outcome::NotSent; 2]);
-        pool.dispatch(20, sends(2, 1));
-        assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection]);
-        pool.sweep(20);
-        assert_eq!((pool.open(), pool.servers.len()), (0, 0));
-    }
-
-    /// What was not written to its last byte never ran; what was may have, or may yet.
-    #[test]
-    fn the_end_of_an_attempt_tells_whether_it_may_have_run() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 1));
-        assert_eq!(outcomes(&mut pool, SECOND), [Outcome::NoConnection]);
-        pool.dispatch(0, sends(2, 2));
-        let line = pool.conns[&0].line.clone();
-        block_on(line.next());
-        pool.hear(20, 0, broken());
-        assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection; 2]);
-        pool.dispatch(30, sends(3, 1));
-        let (executor, inbox) = (pool.executor.clone(), pool.inbox.clone());
-        let line = pool.conns[&1].line.clone();
-        let written = async {
-            while !line.unwritten().is_empty() {
-                yield_now().await;
-            }
-        };
-        async_io::block_on(executor.run(written));
-        assert!(!inbox.take().iter().any(|i| matches!(i, Input::Line(1, LineEvent::Down(_)))));
-        pool.hear(40, 1, broken());
-        assert_eq!(outcomes(&mut pool, 30), [Outcome::ConnectionLost]);
-    }
-
-    /// Over a cut link connections stay open and silent; one that has spoken is kept.
-    #[test]
-    fn a_connection_that_stays_silent_is_closed_with_the_attempt_that_waited_in_vain() {
-        for spoke in [false, true] {
-            let (mut pool, _listener) = pool(limits());
-            pool.dispatch(0, sends(1, 2));
-            block_on(pool.conns[&0].line.next());
-            pool.conns[&0].line.written();
-            if spoke {
-                pool.hear(100, 0, answer("q1.1"));
-            }
-            let outcomes = outcomes(&mut pool, SECOND);
-            pool.sweep(SECOND);
-            assert_eq!(outcomes.last(), Some(&Outcome::TimedOut));
-            assert_eq!(pool.open(), usize::from(spoke));
-        }
-    }
-
-    /// A further attempt at a part must not go out while a stuck socket holds back the giving up of the first.
-    #[test]
-    fn a_connection_that_is_stuck_in_a_frame_ends_with_the_first_attempt_given_up() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 2));
-        block_on(pool.conns[&0].line.next());
-        pool.give_up(SECOND / 2, AttemptId { query: 1, part: 0, attempt: 0 });
-        assert_eq!(outcomes(&mut pool, SECOND / 2), [Outcome::Cancelled, Outcome::NoConnection]);
-        assert_eq!(pool.open(), 0);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/broker/src/upstream/tests.rs
@@ -0,0 +1,324 @@
+use super::line::Outgoing;
+use super::*;
+use crate::inbox::Input;
+use async_io::Async;
+use futures_lite::future::yield_now;
+use plover_model::time::MILLI;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::pin::pin;
+use std::task::{Context, Waker};
+
+const SECOND: Micros = 1_000_000;
+
+fn pool(limits: PoolLimits) -> (Upstream, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut pool = Upstream::new(Rc::default(), Rc::default(), Clock::start(), limits);
+    pool.learn(0, server(), Some(listener.local_addr().unwrap()));
+    (pool, listener)
+}
+
+fn limits() -> PoolLimits {
+    let (dial_timeout, keepalive) = (SECOND / 4, 15 * SECOND);
+    PoolLimits { sockets: 10, batch: 2, multiplex: 4, dial_timeout, keepalive }
+}
+
+fn server() -> NodeId {
+    NodeId("s0".into())
+}
+
+fn sends(query: u64, parts: usize) -> Vec<Send> {
+    let send = |part| Send {
+        attempt: AttemptId { query, part, attempt: 0 },
+        server: server(),
+        until: SECOND,
+        wire: format!("q{query}.{part}"),
+        shard: part,
+        key: None,
+        text: "c41e77d0".into(),
+    };
+    (0..parts).map(send).collect()
+}
+
+fn outcomes(pool: &mut Upstream, now: Micros) -> Vec<Outcome> {
+    pool.take_ended(now).iter().map(|e| e.outcome).collect()
+}
+
+fn broken() -> LineEvent {
+    LineEvent::Down(std::io::ErrorKind::ConnectionReset.into())
+}
+
+fn answer(wire: &str) -> LineEvent {
+    let (id, outcome, held) = (wire.to_owned(), Outcome::Served, Some(1.0));
+    LineEvent::Frame(FromServer::Answer { id, outcome, held, value: "v".to_owned() })
+}
+
+#[test]
+fn calls_are_spread_over_a_few_connections_and_an_idle_one_is_used_again() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 3));
+    assert_eq!(pool.open(), 2);
+    pool.hear(10, 1, answer("q1.2"));
+    pool.dispatch(20, sends(2, 1));
+    assert_eq!((pool.open(), pool.conns[&1].out.len()), (2, 1));
+    (3..20).for_each(|query| pool.dispatch(30, sends(query, 1)));
+    assert_eq!(pool.conns.values().map(|c| c.out.len()).collect::<Vec<_>>(), [4; 5]);
+}
+
+/// A server may close a connection right after its answer: the one that rested longest is the safest.
+#[test]
+fn of_idle_connections_the_one_that_rested_longest_is_used() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 3));
+    for (now, id, wire) in [(10, 1, "q1.2"), (20, 0, "q1.1"), (30, 0, "q1.0")] {
+        pool.hear(now, id, answer(wire));
+    }
+    pool.dispatch(40, sends(2, 1));
+    assert_eq!(pool.conns[&1].out.len(), 1);
+}
+
+/// The end of a connection that had come up is no news of whether its server can be reached.
+#[test]
+fn what_waits_behind_a_connection_that_was_up_is_not_sent() {
+    let (mut pool, _listener) = pool(PoolLimits { sockets: 1, ..limits() });
+    pool.dispatch(0, sends(1, 1));
+    let (executor, line) = (pool.executor.clone(), pool.conns[&0].line.clone());
+    let written = async {
+        while !line.unwritten().is_empty() {
+            yield_now().await;
+        }
+    };
+    async_io::block_on(executor.run(written));
+    pool.dispatch(10, sends(2, 1));
+    pool.hear(20, 0, broken());
+    assert_eq!(outcomes(&mut pool, 30), [Outcome::ConnectionLost, Outcome::NotSent]);
+}
+
+fn outcomes_of_spoilt(event: LineEvent, sent: usize) -> (Vec<Outcome>, usize) {
+    let (mut pool, _listener) = pool(PoolLimits { batch: 4, ..limits() });
+    pool.dispatch(0, sends(1, sent));
+    pool.conns[&0].line.begin(0);
+    pool.conns[&0].line.written();
+    pool.hear(10, 0, event);
+    (outcomes(&mut pool, 20), pool.open())
+}
+
+/// An answer for what is not out stands in the place of one that will not come: it must not be waited for.
+/// It is one failure of the server, whatever else was out on the connection, and none of a query's own.
+#[test]
+fn a_spoilt_answer_fails_one_attempt_and_closes_its_connection() {
+    for event in [answer("q7.0"), LineEvent::Bad(plover_frames::BadFrame("noise"))] {
+        let outcomes = outcomes_of_spoilt(event, 3);
+        assert_eq!(outcomes, (vec![Outcome::Error, Outcome::Cancelled, Outcome::Cancelled], 0));
+    }
+}
+
+/// A second copy or noise after a good answer fails nothing, but nobody can tell what else would come.
+#[test]
+fn surplus_after_a_good_answer_closes_the_connection_and_fails_nothing() {
+    for surplus in [answer("q1.0"), LineEvent::Begun, LineEvent::Bad(plover_frames::BadFrame("noise"))] {
+        let (mut pool, _listener) = pool(limits());
+        pool.dispatch(0, sends(1, 1));
+        pool.hear(10, 0, answer("q1.0"));
+        pool.hear(10, 0, surplus);
+        assert_eq!((outcomes(&mut pool, 20), pool.open()), (vec![Outcome::Served], 0));
+    }
+}
+
+/// The answer to what was given up may cross the giving up: it spoils nothing, but counts only once.
+#[test]
+fn a_late_answer_to_what_was_given_up_is_passed_over() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 2));
+    pool.conns[&0].line.begin(0);
+    pool.conns[&0].line.written();
+    pool.give_up(10, AttemptId { query: 1, part: 0, attempt: 0 });
+    pool.hear(20, 0, answer("q1.0"));
+    assert_eq!((outcomes(&mut pool, 20), pool.open()), (vec![Outcome::Cancelled], 1));
+    pool.hear(30, 0, answer("q1.0"));
+    assert_eq!((outcomes(&mut pool, 30), pool.open()), (vec![Outcome::Error], 0));
+}
+
+/// A length that does not fit promises bytes that never come: the attempt must not wait for its whole time.
+#[test]
+fn a_frame_that_does_not_go_on_is_spoilt() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 1));
+    pool.conns[&0].line.begin(0);
+    pool.conns[&0].line.written();
+    pool.hear(10, 0, LineEvent::Begun);
+    assert_eq!(pool.due(), 10 + limits().dial_timeout);
+    pool.sweep(9 + limits().dial_timeout);
+    assert_eq!(pool.open(), 1);
+    pool.sweep(10 + limits().dial_timeout);
+    assert_eq!((outcomes(&mut pool, SECOND / 2), pool.open()), (vec![Outcome::Error], 0));
+}
+
+/// Every dispatched attempt ends, also where no descriptor is left for it.
+#[test]
+fn with_no_descriptor_left_an_idle_connection_makes_room_or_the_attempt_ends() {
+    let (mut pool, listener) = pool(PoolLimits { sockets: 1, ..limits() });
+    pool.dispatch(0, sends(1, 1));
+    let other = NodeId("s1".into());
+    pool.learn(0, other.clone(), Some(listener.local_addr().unwrap()));
+    let to_other = |query| sends(query, 1).into_iter().map(|s| Send { server: other.clone(), ..s }).collect();
+    pool.dispatch(0, to_other(2));
+    assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection]);
+    pool.hear(10, 0, answer("q1.0"));
+    pool.dispatch(20, to_other(3));
+    assert_eq!((outcomes(&mut pool, 30), pool.open()), (vec![Outcome::Served], 1));
+}
+
+/// A part that crosses the server's closing of an idle connection would end as a reset.
+#[test]
+fn idle_connections_are_closed_before_the_server_does() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 1));
+    pool.hear(100, 0, answer("q1.0"));
+    pool.sweep(11 * SECOND);
+    assert_eq!(pool.open(), 1);
+    pool.sweep(12 * SECOND);
+    assert_eq!(pool.open(), 0);
+}
+
+/// Within the drain's grace nothing may go out, not even what waited for a connection when it began.
+#[test]
+fn what_waits_for_a_server_that_leaves_is_taken_back() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 2));
+    pool.learn(10, server(), None);
+    assert_eq!(outcomes(&mut pool, 30), [Outcome::NotSent; 2]);
+    pool.dispatch(20, sends(2, 1));
+    assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection]);
+    pool.sweep(20);
+    assert_eq!((pool.open(), pool.servers.len()), (0, 0));
+}
+
+/// What was not written to its last byte never ran; what was may have, or may yet.
+#[test]
+fn the_end_of_an_attempt_tells_whether_it_may_have_run() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 1));
+    assert_eq!(outcomes(&mut pool, SECOND), [Outcome::NoConnection]);
+    pool.dispatch(0, sends(2, 2));
+    let line = pool.conns[&0].line.clone();
+    line.begin(0);
+    pool.hear(20, 0, broken());
+    assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection; 2]);
+    pool.dispatch(30, sends(3, 1));
+    let (executor, inbox) = (pool.executor.clone(), pool.inbox.clone());
+    let line = pool.conns[&1].line.clone();
+    let written = async {
+        while !line.unwritten().is_empty() {
+            yield_now().await;
+        }
+    };
+    async_io::block_on(executor.run(written));
+    assert!(!inbox.take().iter().any(|i| matches!(i, Input::Line(1, LineEvent::Down(_)))));
+    pool.hear(40, 1, broken());
+    assert_eq!(outcomes(&mut pool, 30), [Outcome::ConnectionLost]);
+}
+
+/// Over a cut link connections stay open and silent; one that has spoken is kept.
+#[test]
+fn a_connection_that_stays_silent_is_closed_with_the_attempt_that_waited_in_vain() {
+    for spoke in [false, true] {
+        let (mut pool, _listener) = pool(limits());
+        pool.dispatch(0, sends(1, 2));
+        pool.conns[&0].line.begin(0);
+        pool.conns[&0].line.written();
+        if spoke {
+            pool.hear(100, 0, answer("q1.1"));
+        }
+        let outcomes = outcomes(&mut pool, SECOND);
+        pool.sweep(SECOND);
+        assert_eq!(outcomes.last(), Some(&Outcome::TimedOut));
+        assert_eq!(pool.open(), usize::from(spoke));
+    }
+}
+
+/// A further attempt at a part must not go out while a stuck socket holds back the giving up of the first.
+#[test]
+fn a_connection_that_is_stuck_in_a_frame_ends_with_the_first_attempt_given_up() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 2));
+    pool.conns[&0].line.begin(0);
+    pool.give_up(SECOND / 2, AttemptId { query: 1, part: 0, attempt: 0 });
+    assert_eq!(outcomes(&mut pool, SECOND / 2), [Outcome::Cancelled, Outcome::NoConnection]);
+    assert_eq!(pool.open(), 0);
+}
+
+/// A connected pair of sockets: ours, and the server's.
+fn pair() -> (Async<TcpStream>, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let ours = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    (Async::new(ours).unwrap(), listener.accept().unwrap().0)
+}
+
+/// Polls the task once that writes to a socket.
+fn poll_write(stream: &Async<TcpStream>, line: &Line) {
+    let write = pin!(line::write(stream, line, Clock::start()));
+    assert!(write.poll(&mut Context::from_waker(Waker::noop())).is_pending());
+}
+
+fn outgoing(wire: &str, until: Micros) -> Item {
+    let text = "c41e77d0".into();
+    Item::Call(vec![Outgoing { wire: wire.to_owned(), shard: 0, until, key: None, text }])
+}
+
+/// A send counts from its first byte: until the socket takes that, the part can be taken back.
+#[test]
+fn what_a_full_socket_has_not_taken_can_be_taken_back() {
+    let (ours, mut server) = pair();
+    let mut before = 0;
+    while let Ok(n) = ours.get_ref().write(&[0; 4096]) {
+        before += n;
+    }
+    let line = Line::default();
+    line.put(outgoing("q1.0", 3600 * SECOND));
+    poll_write(&ours, &line);
+    assert!(line.is_stuck() && line.withdraw("q1.0"));
+    let mut came = vec![0; before];
+    server.read_exact(&mut came).unwrap();
+    poll_write(&ours, &line);
+    ours.get_ref().shutdown(Shutdown::Write).unwrap();
+    assert_eq!(server.read(&mut came).unwrap(), 0);
+}
+
+/// What a part waited for is no longer left to its client, and a part with nothing left is not sent.
+#[test]
+fn the_time_told_is_what_is_left_as_the_frame_is_written() {
+    let line = Line::default();
+    let told = |now| {
+        let (_, frame) = line.begin(now)?;
+        line.written();
+        Some(String::from_utf8_lossy(&frame[5..]).into_owned())
+    };
+    line.put(outgoing("q1.0", SECOND));
+    assert_eq!(told(250 * MILLI).as_deref(), Some("q1.0 0 d=750 8\nc41e77d0"));
+    line.put(outgoing("q2.0", SECOND));
+    line.put(outgoing("q3.0", 2 * SECOND));
+    assert_eq!(told(SECOND).as_deref(), Some("q3.0 0 d=1000 8\nc41e77d0"));
+    assert_eq!(told(SECOND), None);
+    assert!(line.unwritten().contains("q2.0") && line.withdraw("q2.0") && !line.withdraw("q2.0"));
+}
+
+/// No time being left is no news of a server whose connection is up.
+#[test]
+fn a_part_whose_time_was_over_before_it_was_written_blames_no_server() {
+    let (mut pool, listener) = pool(limits());
+    pool.dispatch(0, sends(1, 1));
+    let line = pool.conns[&0].line.clone();
+    let executor = pool.executor.clone();
+    let _server = async_io::block_on(executor.run(async {
+        while !line.unwritten().is_empty() {
+            yield_now().await;
+        }
+        listener.accept().unwrap()
+    }));
+    pool.hear(10, 0, answer("q1.0"));
+    pool.take_ended(10);
+    pool.dispatch(20, sends(2, 1));
+    assert!(line.begin(SECOND).is_none());
+    assert_eq!(outcomes(&mut pool, SECOND), [Outcome::NotSent]);
+}
--- a/crates/ploverport/tests/scenarios.rs
+++ b/crates/ploverport/tests/scenarios.rs
@@ -10,6 +10,7 @@
 //! dead sN                      nothing listens there
 //! max-open N                   most queries and parts
 //! sockets N                    most descriptors
+//! set POINTER JSON             a setting, by its JSON pointer
 //! open N                       clients idle0, idle1 ..., each of which has asked whether the program is ready
 //! send cN ask ID CLASS SHARDS DEADLINE     a shard may have its portion: 0:0.5,1:0.5
 //! send cN raw TEXT             with \r, \n and the like; `*N` after it repeats the last character
@@ -17,7 +18,11 @@
 //! send d|e REV all|some [SERVER=STATE ...] send d|e raw TEXT
 //! expect cN STATUS [WORD ...]  an answer that holds these words
 //! expect sN call ID ...        one call of these parts; sN may be `any`
+//! expect sN told ID MILLISECONDS          a call of this part, which is told to wait no longer
 //! expect sN give-up ID
+//! late sN                      connections to it do not come up from now on
+//! expect sN dialled            one is waiting to come up
+//! release sN                   and comes up, when it is tried again
 //! expect d|e REV|whole         a watch from this version on, or a call for the whole list
 //! expect log WORD ...          a line of the log that holds these words
 //! expect cN|sN closed          expect exit
@@ -137,6 +142,9 @@
     dead: Vec<String>,
     max_open: Option<u64>,
     sockets: Option<u64>,
+    set: Vec<(String, Value)>,
+    /// Connections that fill the queues of listeners.
+    late: BTreeMap<String, TcpStream>,
     program: Option<Program>,
     seen: VecDeque<String>,
     config: Value,
@@ -148,6 +156,7 @@
             ["servers", n] => (0..n.parse().unwrap()).for_each(|n: usize| self.listen(&format!("s{n}"))),
             ["dead", server] => self.dead.push((*server).to_owned()),
             ["sockets", n] => self.sockets = Some(n.parse().unwrap()),
+            ["set", pointer, value] => self.set.push(((*pointer).to_owned(), value.parse().unwrap())),
             ["max-open", n] => self.max_open = Some(n.parse().unwrap()),
             _ => {
                 if self.program.is_none() {
@@ -195,6 +204,19 @@
                             ('m', ids.iter().map(|i| i.to_string()).collect())
                         );
                     }
+                    ["expect", who, "told", id, most] => {
+                        let (letter, rest) = self.peer(who).frame();
+                        assert_eq!((letter, parts(&rest)), ('m', vec![(*id).to_owned()]));
+                        let told = rest.split_once(" d=").unwrap().1;
+                        let told: u64 = told.split([',', ' ']).next().unwrap().parse().unwrap();
+                        assert!(told <= most.parse().unwrap(), "{told}");
+                    }
+                    ["late", who] => self.late(who),
+                    ["expect", who, "dialled"] => self.dialled(who),
+                    ["release", who] => {
+                        drop(accept(&[&self.listeners[*who]]));
+                        self.late.remove(*who);
+                    }
                     ["expect", who, "give-up", id] => {
                         assert_eq!(self.peer(who).frame(), ('n', (*id).to_owned()));
                     }
@@ -234,6 +256,28 @@
         self.listeners.insert(name.to_owned(), TcpListener::bind("127.0.0.1:0").unwrap());
     }
 
+    /// Fills the queue of a listener: the system then leaves further dials without an answer.
+    fn late(&mut self, name: &str) {
+        let listener = &self.listeners[name];
+        rustix::net::listen(listener, 0).unwrap();
+        let filler = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        self.late.insert(name.to_owned(), filler);
+    }
+
+    /// Waits until somebody dials a listener in vain (state 02 of the system's table is SYN_SENT).
+    fn dialled(&self, name: &str) {
+        let port = format!(":{:04X}", self.listeners[name].local_addr().unwrap().port());
+        let until = Instant::now() + BOUND;
+        let dials = |line: &str| {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            words.len() > 3 && words[2].ends_with(&port) && words[3] == "02"
+        };
+        while !std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(dials) {
+            assert!(Instant::now() < until, "nobody dials");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     fn entry(&self, name: &str, state: &str) -> Value {
         let endpoint = self.listeners[name].local_addr().unwrap().to_string();
         json!({"uid": name, "endpoint": endpoint, "az": "z", "model": "m", "pod_group": 0,
@@ -254,6 +298,9 @@
         if let Some(n) = self.max_open {
             settings["Allowed"]["MaxOpen"] = json!(n);
         }
+        for (pointer, value) in &self.set {
+            *settings.pointer_mut(pointer).unwrap() = value.clone();
+        }
         let discovery = self.listeners["d"].local_addr().unwrap().to_string();
         let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
             "seed": "8c1f30d27a5be964", "limits": {"sockets": self.sockets.unwrap_or(1024)}, "settings": settings,
