Take back what an ended query has not begun to send, also where calling off is not allowed

Found by reading. When a client leaves or a query ends, the module calls its attempts off where the settings allow that (choice.rs, cancel_rest), and only then were parts withdrawn that waited for a dial. Broker::turn now takes back, at its end, what queries that ended in it have not begun to send: nothing of that reached a server, so that it needs no leave. Ruled out: the module, which may not call off there.

--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -53,6 +53,8 @@
     /// The turn's dispatches: they go out together at its end.
     dispatches: BTreeMap<AttemptId, Dispatch>,
     ended: Vec<Ended>,
+    /// Queries that ended in this turn.
+    over: Vec<QueryId>,
     leaving_since: Option<Micros>,
     /// When to read the configuration again.
     reload_at: Option<Micros>,
@@ -117,6 +119,7 @@
         fronts: Fronts::start(shared, plan, clock, executor.clone()),
         dispatches: BTreeMap::new(),
         ended: Vec::new(),
+        over: Vec::new(),
         leaving_since: None,
         reload_at: None,
         tell_at: 0,
@@ -189,6 +192,7 @@
                     asks.retain(|(ask, ..)| *ask != id);
                     self.core.leave(id);
                     self.queries.gone(now, id);
+                    self.over.push(id);
                 }
                 Input::Line(id, event) => self.upstream.hear(now, id, event),
                 Input::Targets(targets) => self.learn(now, targets.scope(), &targets),
@@ -208,6 +212,9 @@
         self.carry_out(now, decisions);
         let decisions = self.core.tick(now);
         self.carry_out(now, decisions);
+        for query in std::mem::take(&mut self.over) {
+            self.upstream.take_back(now, query);
+        }
         let sends = std::mem::take(&mut self.dispatches);
         let sends = sends.into_values().filter_map(|d| self.send(now, d)).collect();
         self.upstream.dispatch(now, sends);
@@ -312,6 +319,7 @@
     }
 
     fn finish(&mut self, now: Micros, query: QueryId, verdict: Verdict) {
+        self.over.push(query);
         self.queries.finish(now, query, |values| match verdict {
             Verdict::Refuse { retry_after } => Reply::Refused { retry_after },
             Verdict::Fail => Reply::Failed,
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -12,7 +12,7 @@
 use line::{Item, Line, Outgoing};
 use plover_frames::FromServer;
 use plover_model::limits::PoolLimits;
-use plover_model::query::AttemptId;
+use plover_model::query::{AttemptId, QueryId};
 use plover_model::server::{NodeId, Outcome};
 use plover_model::time::Micros;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -243,6 +243,20 @@
         true
     }
 
+    /// Takes back what a query that has ended has not begun to send. Nothing of it reaches a server, so that it needs
+    /// no leave to call off.
+    pub fn take_back(&mut self, now: Micros, query: QueryId) {
+        let first = AttemptId { query, part: 0, attempt: 0 };
+        let last = AttemptId { query, part: usize::MAX, attempt: u32::MAX };
+        let out: Vec<AttemptId> = self.flights.range(first..=last).map(|(attempt, _)| *attempt).collect();
+        for attempt in out {
+            let Some(Flight { conn, wire, .. }) = self.flights.get(&attempt) else { continue };
+            if self.conns.get(conn).is_some_and(|c| c.line.withdraw(wire)) {
+                self.end(now, attempt, Outcome::NotSent, None, None);
+            }
+        }
+    }
+
     /// Stops waiting for an attempt that was called off.
     pub fn give_up(&mut self, now: Micros, attempt: AttemptId) {
         self.abandon(now, attempt, Outcome::Cancelled);
--- a/crates/broker/src/upstream/tests.rs
+++ b/crates/broker/src/upstream/tests.rs
@@ -322,3 +322,16 @@
     assert!(line.begin(SECOND).is_none());
     assert_eq!(outcomes(&mut pool, SECOND), [Outcome::NotSent]);
 }
+
+/// Not called off, as where the settings do not allow that: it has not left yet.
+#[test]
+fn what_an_ended_query_has_not_begun_to_send_is_taken_back() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 2));
+    pool.dispatch(0, sends(2, 1));
+    pool.conns[&1].line.begin(0);
+    pool.take_back(10, 2);
+    pool.take_back(10, 1);
+    assert_eq!(outcomes(&mut pool, 10), [Outcome::NotSent; 2]);
+    assert!(pool.flights.keys().all(|attempt| attempt.query == 2));
+}
