Read before writing to a data server, so that its closing is met before a part goes out

Found by reading. run() in upstream/line.rs polled the writer first: a part that was dispatched after the server had closed an idle connection, but before the pool heard of it, was written into the closed connection and ended as ConnectionLost, which may have run: a class that may not repeat then fails. Reading first, the end is met in the same poll, and the part ends as NotSent. The test forces the order: the server closes after the dispatch and before the task runs; ConnectionLost before, NotSent now. What the server closes after the write is still as the protocol has it, a reset.

--- a/crates/broker/src/upstream/line.rs
+++ b/crates/broker/src/upstream/line.rs
@@ -179,7 +179,8 @@
             line.up.set(true);
             let written = async { LineEvent::Down(write(&stream, &line, clock).await) };
             let read = async { read(&stream, id, &inbox).await.unwrap_or_else(LineEvent::Down) };
-            written.or(read).await
+            // Reading goes first: nothing is written into a connection that the server has closed by then.
+            read.or(written).await
         }
         Err(error) => LineEvent::Down(error),
     };
--- a/crates/broker/src/upstream/tests.rs
+++ b/crates/broker/src/upstream/tests.rs
@@ -303,6 +303,38 @@
     assert!(line.unwritten().contains("q2.0") && line.withdraw("q2.0") && !line.withdraw("q2.0"));
 }
 
+/// The server closes an idle connection, and a part goes out before the pool has heard of it: it must not end as
+/// one that may have run, which some classes may not repeat.
+#[test]
+fn a_part_that_meets_the_closing_of_an_idle_connection_never_ran() {
+    let (mut pool, listener) = pool(limits());
+    pool.dispatch(0, sends(1, 1));
+    let (executor, inbox, line) = (pool.executor.clone(), pool.inbox.clone(), pool.conns[&0].line.clone());
+    async_io::block_on(executor.run(async {
+        while !line.unwritten().is_empty() {
+            yield_now().await;
+        }
+    }));
+    let (mut server, _) = listener.accept().unwrap();
+    assert!(server.read(&mut [0; 1024]).unwrap() > 0);
+    pool.hear(10, 0, answer("q1.0"));
+    assert_eq!(outcomes(&mut pool, 10), [Outcome::Served]);
+    pool.dispatch(20, sends(2, 1));
+    drop(server);
+    let news = async_io::block_on(executor.run(async {
+        loop {
+            let news = inbox.take();
+            if !news.is_empty() {
+                break news;
+            }
+            yield_now().await;
+        }
+    }));
+    assert!(matches!(news[..], [Input::Line(0, LineEvent::Down(_))]));
+    pool.hear(30, 0, broken());
+    assert_eq!(outcomes(&mut pool, 30), [Outcome::NotSent]);
+}
+
 /// No time being left is no news of a server whose connection is up.
 #[test]
 fn a_part_whose_time_was_over_before_it_was_written_blames_no_server() {
