--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -28,6 +28,10 @@
 /// After a request to end, new connections are taken for this long: fronts notice late.
 const LEAVING: Micros = 600_000;
 
+/// A configuration that cannot be read is read again after this: it may have been caught half written, and what it
+/// names counts within seconds.
+const REREAD: Micros = 1_000_000;
+
 /// What the decisions go by is logged this often: seldom enough for a log of weeks.
 const TELL_EVERY: Micros = 5_000_000;
 
@@ -49,7 +53,11 @@
     /// The turn's dispatches: they go out together at its end.
     dispatches: BTreeMap<AttemptId, Dispatch>,
     ended: Vec<Ended>,
+    /// Queries that ended in this turn.
+    over: Vec<QueryId>,
     leaving_since: Option<Micros>,
+    /// When to read the configuration again.
+    reload_at: Option<Micros>,
     /// When to log next what the decisions go by.
     tell_at: Micros,
 }
@@ -105,13 +113,15 @@
         clients: config.clients,
         queries: Queries::new(&config.settings, config.max_open),
         core: Core::new(config.settings, config.max_open, config.seed),
-        upstream: Upstream::new(executor.clone(), inbox.clone(), config.pool),
-        discovery: Discovery::start(executor.clone(), inbox.clone(), config.discovery, rev),
+        upstream: Upstream::new(executor.clone(), inbox.clone(), clock, config.pool),
+        discovery: Discovery::start(executor.clone(), inbox.clone(), config.discovery, rev, config.seed),
         inbox,
         fronts: Fronts::start(shared, plan, clock, executor.clone()),
         dispatches: BTreeMap::new(),
         ended: Vec::new(),
+        over: Vec::new(),
         leaving_since: None,
+        reload_at: None,
         tell_at: 0,
     };
     broker.learn(clock.now(), ListScope::Known, &config.known);
@@ -147,6 +157,7 @@
                 Some(self.core.due()),
                 Some(self.upstream.due()),
                 leaving.filter(|at| now < *at),
+                self.reload_at,
                 closing,
                 ended,
             ];
@@ -181,13 +192,17 @@
                     asks.retain(|(ask, ..)| *ask != id);
                     self.core.leave(id);
                     self.queries.gone(now, id);
+                    self.over.push(id);
                 }
                 Input::Line(id, event) => self.upstream.hear(now, id, event),
                 Input::Targets(targets) => self.learn(now, targets.scope(), &targets),
-                Input::Reload => self.reload(),
+                Input::Reload => self.reload_at = Some(now),
                 Input::Terminate => self.terminate(now),
             }
         }
+        if self.reload_at.take_if(|at| now >= *at).is_some() {
+            self.reload(now);
+        }
         let reports = self.take_reports(now);
         let decisions = self.core.report(now, reports);
         self.carry_out(now, decisions);
@@ -197,6 +212,9 @@
         self.carry_out(now, decisions);
         let decisions = self.core.tick(now);
         self.carry_out(now, decisions);
+        for query in std::mem::take(&mut self.over) {
+            self.upstream.take_back(now, query);
+        }
         let sends = std::mem::take(&mut self.dispatches);
         let sends = sends.into_values().filter_map(|d| self.send(now, d)).collect();
         self.upstream.dispatch(now, sends);
@@ -235,8 +253,8 @@
     }
 
     /// Takes the configuration and the operator's file as they are now: both or none. A file that is missing or
-    /// faulty leaves all as it was: a slip of the pen must not end a broker that serves.
-    fn reload(&mut self) {
+    /// faulty leaves all as it was: a slip of the pen must not end a broker that serves. It is read again later.
+    fn reload(&mut self, now: Micros) {
         let read = || -> Result<_, String> {
             let config = config::reread(config::environment)?;
             let settings = self.operator.reread()?;
@@ -253,7 +271,10 @@
                 info!(name: "reloaded", discovery = %discovery);
                 self.discovery.move_to(discovery);
             }
-            Err(error) => warn!(name: "reload_failed", error = %error),
+            Err(error) => {
+                warn!(name: "reload_failed", error = %error);
+                self.reload_at = Some(now + REREAD);
+            }
         }
     }
 
@@ -298,6 +319,7 @@
     }
 
     fn finish(&mut self, now: Micros, query: QueryId, verdict: Verdict) {
+        self.over.push(query);
         self.queries.finish(now, query, |values| match verdict {
             Verdict::Refuse { retry_after } => Reply::Refused { retry_after },
             Verdict::Fail => Reply::Failed,
