Notice a client that goes behind bytes that it sent ahead

While a query is in hand http1.rs reads ahead up to 16 KiB and then not at all (answer(), the loop's bound), so that the end behind was never read: the query's further attempts, and the requests behind it, went out in the name of a client that had left, until the write of an answer failed. Ruled out: clients that sent less, whose end is read. The system is now asked whether the peer has closed its side, at once and every 50 ms, where the bound is met; the bound stays. The inline tests of the fronts and their seats move to files of their own, unchanged.

--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -4,7 +4,7 @@
 use super::seats::{Rank, Seat, Seats};
 use super::{Shared, Stage};
 use crate::clock::limited;
-use crate::net::{linger, read_some};
+use crate::net::{LINGER, has_hung_up, linger, read_some};
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncWriteExt, FutureExt};
@@ -26,6 +26,8 @@
 const SILENCE: Duration = Duration::from_secs(2);
 /// How much may be read ahead while an answer is awaited.
 const AHEAD: usize = HEAD_CAP;
+/// How often one that has sent more than that is looked at: it may have gone behind what it sent.
+const LOOK: Duration = Duration::from_millis(50);
 /// What a request may take.
 const LIMITS: Limits = Limits { head: HEAD_CAP, body: BODY_CAP };
 
@@ -103,7 +105,7 @@
             };
             write(&stream, &encode_response(&self.shared.dated(response), reader)).await?;
             if !reader.keep_alive {
-                return if input.is_empty() { Ok(()) } else { linger(&stream).await };
+                return if input.is_empty() { Ok(()) } else { linger(&stream, LINGER).await };
             }
             served |= usable;
             if input.is_empty() {
@@ -180,7 +182,10 @@
                     return Err(io::ErrorKind::UnexpectedEof.into());
                 }
             }
-            futures_lite::future::pending().await
+            while !has_hung_up(stream) {
+                Timer::after(LOOK).await;
+            }
+            Err(io::ErrorKind::UnexpectedEof.into())
         };
         reply.or(gone).await
     }
@@ -189,7 +194,7 @@
     async fn reject(&self, stream: &Async<TcpStream>, status: u16, why: &str) -> io::Result<()> {
         let response = final_answer(&Reply::Bad { status, why: why.to_owned() });
         write(stream, &encode_response(&self.shared.dated(response), LAST)).await?;
-        linger(stream).await
+        linger(stream, LINGER).await
     }
 }
 
--- a/crates/broker/src/front/http2/mod.rs
+++ b/crates/broker/src/front/http2/mod.rs
@@ -9,7 +9,7 @@
 use super::seats::{Rank, Seat, Seats, Spare};
 use super::{Shared, Stage};
 use crate::clock::{Clock, limited, span};
-use crate::net::{linger, read_some};
+use crate::net::{LINGER, linger, read_some};
 use async_io::{Async, Timer};
 use bytes::Bytes;
 use futures_lite::{AsyncWriteExt, FutureExt};
@@ -79,7 +79,7 @@
         };
         self.connection(connection, stream.clone(), ahead).await;
         // A client that is still sending would see a reset in place of the last words.
-        let _ = linger(&stream).await;
+        let _ = linger(&stream, LINGER).await;
     }
 
     /// In HTTP/2 this could be said only after an exchange: the closing says it.
@@ -136,7 +136,7 @@
             let bytes = encode_response(&reply, reader);
             limited(span(LAST_WORDS), (&*stream).write_all(&bytes)).await?;
         }
-        linger(stream).await
+        linger(stream, LINGER).await
     }
 
     async fn connection(&self, number: Connection, stream: Rc<Async<TcpStream>>, ahead: Vec<u8>) {
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -184,43 +184,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::seats::{Rank, Seats};
-    use super::*;
-    use crate::clock::limited;
-    use brookbend::settings::{Message, decode};
-    use futures_lite::future::yield_now;
-    use std::net::TcpStream;
-
-    /// One that was to make room may get a request in the same moment and stay; accepting waited for its end,
-    /// and new connections were not taken meanwhile.
-    #[test]
-    fn accepting_goes_on_where_one_that_was_to_make_room_stays() {
-        let settings: serde_json::Value =
-            serde_json::from_str(include_str!("../../../model/tests/settings.json")).unwrap();
-        let site = decode(&Message::new("settings", settings.as_object().unwrap())).unwrap();
-        let shared = Shared::new(Rc::default(), site.settings, Names::default());
-        let executor = Rc::new(LocalExecutor::new());
-        let front = Rc::new(Http1::new(shared, 2));
-        let seats: Rc<Seats> = accept::Serve::seats(&*front).clone();
-        let stays = seats.take();
-        let _stays = seats.spare(Rank::Fresh);
-        let (leaving, seat) = (seats.clone(), seats.take());
-        let leaves = executor.spawn(async move {
-            leaving.spare(Rank::Served).closed().await;
-            drop(seat);
-        });
-        let listener = Rc::new(Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap());
-        let _client = TcpStream::connect(listener.get_ref().local_addr().unwrap()).unwrap();
-        let _accept = executor.spawn(accept::accept(front.clone(), listener, executor.clone()));
-        let taken = async {
-            leaves.await;
-            while front.open() < 2 {
-                yield_now().await;
-            }
-            Ok(())
-        };
-        async_io::block_on(executor.run(limited(Duration::from_secs(30), taken))).unwrap();
-        drop(stays);
-    }
-}
+mod tests;
--- a/crates/broker/src/net.rs
+++ b/crates/broker/src/net.rs
@@ -3,6 +3,7 @@
 use async_io::Async;
 use futures_lite::AsyncRead;
 use futures_lite::future::yield_now;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use std::future::poll_fn;
 use std::io;
 use std::net::{Shutdown, TcpStream};
@@ -14,7 +15,9 @@
 
 /// A connection that the broker ends is read on for this long, so that its last answer is not lost by a reset
 /// (RFC 9112, section 9.6).
-const LINGER: Duration = Duration::from_millis(500);
+pub const LINGER: Duration = Duration::from_millis(500);
+/// The same where its last answer has long been read.
+pub const LINGER_IDLE: Duration = Duration::from_millis(100);
 /// Steps in which a connection's buffer grows, and the most that one read takes.
 const STEP: usize = 16 * 1024;
 
@@ -37,8 +40,17 @@
     .await
 }
 
-/// Ends a connection whose client may still be sending: unread bytes would make the end a reset.
-pub async fn linger(stream: &Async<TcpStream>) -> io::Result<()> {
+/// Whether the peer has closed its side, also where bytes that it sent before wait unread.
+pub fn has_hung_up(stream: &Async<TcpStream>) -> bool {
+    let mut polled = [PollFd::new(stream.get_ref(), PollFlags::RDHUP)];
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    // RDHUP alone is asked for; an error or a reset is always told.
+    poll(&mut polled, Some(&at_once)).is_ok() && !polled[0].revents().is_empty()
+}
+
+/// Ends a connection whose client may still be sending: unread bytes would make the end a reset. It is over as soon
+/// as the client has closed its side.
+pub async fn linger(stream: &Async<TcpStream>, most: Duration) -> io::Result<()> {
     // The library of HTTP/2 has done so already where it came to an end of its own.
     let _ = stream.get_ref().shutdown(Shutdown::Write);
     let mut rest = Vec::new();
@@ -49,5 +61,5 @@
         }
         Ok(())
     };
-    limited(LINGER, drain).await
+    limited(most, drain).await
 }
