Count a pipelined request's time from its coming, not from the end of the one before it

Found by reading. The time of a request counts from its last byte. connection() in http1.rs decodes a request that waited behind another only once that is answered, and admit() in queries.rs then gave it its whole X-Deadline from that moment: its parts were told more time than was left, and its answer could come after its client had given up. The read buffer now keeps when it last grew, and a request's patience is less by what has passed since.

--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -12,11 +12,12 @@
 use plover_admission::Connection;
 use plover_http1::{Fault, Limits, Message, Reader, RequestDecoder, Step, encode_response};
 use plover_model::query::Reply;
+use plover_model::time::Micros;
 use plover_query::{BODY_CAP, HEAD_CAP, Response, Routed, final_answer, refuse_connection};
 use std::io::{self, Write};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A request that has begun must be all there, and an answer taken, within this time: a client that trickles
 /// would else hold its connection for ever.
@@ -37,6 +38,22 @@
     seats: Rc<Seats>,
 }
 
+/// What has been read of a connection and not been used.
+struct ReadBuffer {
+    bytes: Vec<u8>,
+    /// When it last grew: a request that is whole in it came no later.
+    grown: Instant,
+}
+
+impl ReadBuffer {
+    /// Reads on; 0: the peer has closed.
+    async fn read(&mut self, stream: &Async<TcpStream>) -> io::Result<usize> {
+        let n = read_some(stream, &mut self.bytes).await?;
+        self.grown = Instant::now();
+        Ok(n)
+    }
+}
+
 /// How the reading of a request ended.
 enum Read {
     Whole(Box<Message<Request<Vec<u8>>>>),
@@ -81,12 +98,12 @@
 
     async fn connection(&self, stream: Async<TcpStream>) -> io::Result<()> {
         stream.get_ref().set_nodelay(true)?;
-        let mut input = Vec::new();
+        let mut input = ReadBuffer { bytes: Vec::new(), grown: Instant::now() };
         let mut decoder = RequestDecoder::new(LIMITS);
         let mut served = false;
         let number = self.shared.next_connection();
         loop {
-            if input.is_empty() && !self.first_bytes(&stream, &mut input, served).await? {
+            if input.bytes.is_empty() && !self.first_bytes(&stream, &mut input, served).await? {
                 return Ok(());
             }
             let message = match self.request(&stream, &mut decoder, &mut input, served).await {
@@ -105,12 +122,12 @@
             };
             write(&stream, &encode_response(&self.shared.dated(response), reader)).await?;
             if !reader.keep_alive {
-                return if input.is_empty() { Ok(()) } else { linger(&stream, LINGER).await };
+                return if input.bytes.is_empty() { Ok(()) } else { linger(&stream, LINGER).await };
             }
             served |= usable;
-            if input.is_empty() {
+            if input.bytes.is_empty() {
                 // An idle connection holds no memory but its own.
-                input = Vec::new();
+                input.bytes = Vec::new();
             }
             // A client that sends without end must not keep the one thread from all others.
             yield_now().await;
@@ -121,12 +138,12 @@
     async fn first_bytes(
         &self,
         stream: &Async<TcpStream>,
-        input: &mut Vec<u8>,
+        input: &mut ReadBuffer,
         served: bool,
     ) -> io::Result<bool> {
         if self.shared.stage() == Stage::Closing {
             // What is there already has been taken: it is read and answered.
-            return Ok(read_some(stream, input).or(async { Ok(0) }).await? > 0);
+            return Ok(input.read(stream).or(async { Ok(0) }).await? > 0);
         }
         let spare = self.seats.spare(if served { Rank::Served } else { Rank::Fresh });
         let silent = Timer::after(if served { self.seats.idle_time() } else { SILENCE });
@@ -135,7 +152,7 @@
             Ok(0)
         };
         // A request that came beside the closing is taken: reading goes first.
-        Ok(read_some(stream, input).or(end).await? > 0)
+        Ok(input.read(stream).or(end).await? > 0)
     }
 
     /// Reads a request that has begun.
@@ -143,7 +160,7 @@
         &self,
         stream: &Async<TcpStream>,
         decoder: &mut RequestDecoder,
-        input: &mut Vec<u8>,
+        input: &mut ReadBuffer,
         served: bool,
     ) -> io::Result<Read> {
         let read = limited(MESSAGE_TIME, read_request(stream, decoder, input));
@@ -164,12 +181,14 @@
         number: Connection,
         request: &Request<Vec<u8>>,
         stream: &Async<TcpStream>,
-        input: &mut Vec<u8>,
+        input: &mut ReadBuffer,
     ) -> io::Result<(Response, bool)> {
-        let ask = match self.shared.route(request) {
+        let mut ask = match self.shared.route(request) {
             Routed::Query(ask) => ask,
             Routed::Answered { response, usable } => return Ok((response, usable)),
         };
+        // One that waited behind another has less time left than it says.
+        ask.patience = ask.patience.saturating_sub(input.grown.elapsed().as_micros() as Micros);
         let ticket = self.shared.inbox.ask(number, ask);
         let reply = async {
             let reply = ticket.reply().await;
@@ -177,8 +196,8 @@
         };
         let gone = async {
             // Clients send one request at a time; one that sends ahead is read on only so far.
-            while input.len() < AHEAD {
-                if read_some(stream, input).await? == 0 {
+            while input.bytes.len() < AHEAD {
+                if input.read(stream).await? == 0 {
                     return Err(io::ErrorKind::UnexpectedEof.into());
                 }
             }
@@ -201,11 +220,11 @@
 async fn read_request(
     stream: &Async<TcpStream>,
     decoder: &mut RequestDecoder,
-    input: &mut Vec<u8>,
+    input: &mut ReadBuffer,
 ) -> io::Result<Read> {
     let mut told = false;
     loop {
-        match decoder.step(input) {
+        match decoder.step(&mut input.bytes) {
             Err(fault) => return Ok(Read::Bad(fault)),
             Ok(Step::Whole(message)) => return Ok(Read::Whole(Box::new(message))),
             Ok(Step::More(waits)) => {
@@ -213,7 +232,7 @@
                     told = true;
                     write(stream, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
                 }
-                if limited(SILENCE, read_some(stream, input)).await? == 0 {
+                if limited(SILENCE, input.read(stream)).await? == 0 {
                     return Err(io::ErrorKind::UnexpectedEof.into());
                 }
                 yield_now().await;
