--- a/crates/ploverport/tests/scenarios.rs
+++ b/crates/ploverport/tests/scenarios.rs
@@ -25,7 +25,8 @@
 //! release sN                   and comes up, when it is tried again
 //! expect d|e REV|whole         a watch from this version on, or a call for the whole list
 //! expect log WORD ...          a line of the log that holds these words
-//! expect cN|sN closed          expect exit
+//! expect cN|sN closed          expect cN ended, by no reset       expect exit
+//! expect refused               nobody listens for clients any more
 //! close|reset cN|sN|d|e        wait MILLISECONDS              signal NAME
 //! within MILLISECONDS STEP     the step takes no longer than that
 //! config d|e|none|TEXT         the file is replaced by one that names this discovery or holds TEXT, or removed
@@ -189,6 +190,16 @@
                     ["expect", "exit"] => self.exit(),
                     ["expect", "log", words @ ..] => self.logged(words),
                     ["expect", who, "closed"] => self.peer(who).closed(),
+                    ["expect", who, "ended"] => {
+                        let peer = self.peer(who);
+                        while peer.stream.read(&mut [0; 4096]).unwrap() > 0 {}
+                    }
+                    ["expect", "refused"] => {
+                        let (until, listen) = (Instant::now() + BOUND, self.program.as_ref().unwrap().listen);
+                        while TcpStream::connect(listen).is_ok() {
+                            assert!(Instant::now() < until, "it still listens");
+                        }
+                    }
                     ["expect", who, rev] if is_discovery(who) => {
                         let call = self.peer(who).http();
                         let query =
