Half-close each connection that the broker ends, and drain it before it is closed

In the test, where a request ends with what one read takes, the client got a reset (os error 104). TCP_NODELAY was set already. Its seat is freed meanwhile, for 16 such at once, which the descriptors kept for the program's own use hold: else idle clients that make room would keep it for as long.

--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -4,7 +4,7 @@
 use super::seats::{Rank, Seat, Seats};
 use super::{Shared, Stage};
 use crate::clock::limited;
-use crate::net::{LINGER, has_hung_up, linger, read_some};
+use crate::net::{LINGER, LINGER_IDLE, has_hung_up, linger, read_some};
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncWriteExt, FutureExt};
@@ -65,9 +65,11 @@
         &self.seats
     }
 
-    /// An error is the client's going away, which its ticket has told.
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, _seat: Seat) {
-        let _ = self.connection(stream).await;
+    /// An error is the client's going away, which its ticket has told, or the broker's own: its end goes the same way.
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, seat: Seat) {
+        let most = self.connection(&stream).await.unwrap_or(LINGER);
+        let _ending = seat.end();
+        let _ = linger(&stream, most).await;
     }
 
     fn turn_away(&self, stream: &Async<TcpStream>) {
@@ -96,33 +98,34 @@
         self.seats.close_idle();
     }
 
-    async fn connection(&self, stream: Async<TcpStream>) -> io::Result<()> {
+    /// Serves until the connection is to end; for how long at most its client is waited for then.
+    async fn connection(&self, stream: &Async<TcpStream>) -> io::Result<Duration> {
         stream.get_ref().set_nodelay(true)?;
         let mut input = ReadBuffer { bytes: Vec::new(), grown: Instant::now() };
         let mut decoder = RequestDecoder::new(LIMITS);
         let mut served = false;
         let number = self.shared.next_connection();
         loop {
-            if input.bytes.is_empty() && !self.first_bytes(&stream, &mut input, served).await? {
-                return Ok(());
+            if input.bytes.is_empty() && !self.first_bytes(stream, &mut input, served).await? {
+                return Ok(LINGER_IDLE);
             }
-            let message = match self.request(&stream, &mut decoder, &mut input, served).await {
+            let message = match self.request(stream, &mut decoder, &mut input, served).await {
                 Ok(Read::Whole(message)) => message,
-                Ok(Read::Bad(fault)) => return self.reject(&stream, fault.status(), fault.why()).await,
+                Ok(Read::Bad(fault)) => return self.reject(stream, fault.status(), fault.why()).await,
                 Err(e) if e.kind() == io::ErrorKind::TimedOut => {
-                    return self.reject(&stream, 408, "the request did not come in time").await;
+                    return self.reject(stream, 408, "the request did not come in time").await;
                 }
                 Err(e) => return Err(e),
             };
-            let (response, usable) = self.answer(number, &message.value, &stream, &mut input).await?;
+            let (response, usable) = self.answer(number, &message.value, stream, &mut input).await?;
             let reader = Reader {
                 version: message.value.version(),
                 head_only: message.value.method() == Method::HEAD,
                 keep_alive: message.keep_alive && self.shared.stage() == Stage::Serving,
             };
-            write(&stream, &encode_response(&self.shared.dated(response), reader)).await?;
+            write(stream, &encode_response(&self.shared.dated(response), reader)).await?;
             if !reader.keep_alive {
-                return if input.bytes.is_empty() { Ok(()) } else { linger(&stream, LINGER).await };
+                return Ok(LINGER);
             }
             served |= usable;
             if input.bytes.is_empty() {
@@ -213,11 +216,11 @@
         reply.or(gone).await
     }
 
-    /// Answers a request whose framing is lost, and ends its connection.
-    async fn reject(&self, stream: &Async<TcpStream>, status: u16, why: &str) -> io::Result<()> {
+    /// Answers a request whose framing is lost; its connection is to end.
+    async fn reject(&self, stream: &Async<TcpStream>, status: u16, why: &str) -> io::Result<Duration> {
         let response = final_answer(&Reply::Bad { status, why: why.to_owned() });
         write(stream, &encode_response(&self.shared.dated(response), LAST)).await?;
-        linger(stream, LINGER).await
+        Ok(LINGER)
     }
 }
 
--- a/crates/broker/src/front/seats.rs
+++ b/crates/broker/src/front/seats.rs
@@ -17,6 +17,9 @@
 const PRESSED: (usize, usize) = (1, 4);
 /// Longest wait for a connection to make room before another is asked to.
 const ROOM_PAUSE: Duration = Duration::from_millis(5);
+/// Most connections that may be ending beside the seats: the descriptors kept for the program's own use have room
+/// for them.
+const ENDING: usize = 16;
 /// Longest wait for room: then a new client is told that there is none, and can try another broker.
 const ROOM_TIME: Duration = Duration::from_millis(250);
 
@@ -36,6 +39,8 @@
 pub(super) struct Seats {
     most: usize,
     open: Cell<usize>,
+    /// Connections that are ending beside them.
+    ending: Cell<usize>,
     next: Cell<u64>,
     /// Of each connection that may be closed for want of room, its rank and age there: dropping the sender closes
     /// it, the first one first.
@@ -54,6 +59,27 @@
     }
 }
 
+/// Counts a connection that is ending: its seat is another's, while there is room beside the seats.
+pub(super) enum Ending {
+    Beside(Rc<Seats>),
+    Seated(#[expect(dead_code, reason = "held for its drop")] Seat),
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        if let Ending::Beside(seats) = self {
+            seats.ending.set(seats.ending.get() - 1);
+        }
+    }
+}
+
+impl Seat {
+    /// Its connection is ending.
+    pub(super) fn end(self) -> Ending {
+        self.0.end().unwrap_or(Ending::Seated(self))
+    }
+}
+
 /// A place among the connections that may be closed, held until dropped.
 pub(super) struct Spare<'a> {
     seats: &'a Seats,
@@ -80,15 +106,25 @@
         Rc::new(Seats {
             most,
             open: Cell::new(0),
+            ending: Cell::new(0),
             next: Cell::new(0),
             spare: RefCell::default(),
             room: async_channel::bounded(1),
         })
     }
 
-    /// Connections that are open.
+    /// Connections that are open, those that are ending included.
     pub(super) fn open(&self) -> usize {
-        self.open.get()
+        self.open.get() + self.ending.get()
+    }
+
+    /// Room for a connection to end beside the seats.
+    pub(super) fn end(self: &Rc<Self>) -> Option<Ending> {
+        let room = self.ending.get() < ENDING;
+        room.then(|| {
+            self.ending.set(self.ending.get() + 1);
+            Ending::Beside(self.clone())
+        })
     }
 
     /// Takes a seat, whoever else is there.
--- a/crates/ploverport/tests/scenarios.rs
+++ b/crates/ploverport/tests/scenarios.rs
@@ -12,6 +12,7 @@
 //! sockets N                    most descriptors
 //! set POINTER JSON             a setting, by its JSON pointer
 //! open N                       clients idle0, idle1 ..., each of which has asked whether the program is ready
+//! busy N                       clients busy0, busy1 ..., each of which has asked something and waits
 //! send cN ask ID CLASS SHARDS DEADLINE     a shard may have its portion: 0:0.5,1:0.5
 //! send cN raw TEXT             with \r, \n and the like; `*N` after it repeats the last character
 //! send sN good|bad|later ID [VALUE]        send sN raw TEXT
@@ -193,6 +194,8 @@
                     ["expect", who, "ended"] => {
                         let peer = self.peer(who);
                         while peer.stream.read(&mut [0; 4096]).unwrap() > 0 {}
+                        // One that was reset behind its end takes no more bytes.
+                        peer.send(b"\r\n");
                     }
                     ["expect", "refused"] => {
                         let (until, listen) = (Instant::now() + BOUND, self.program.as_ref().unwrap().listen);
@@ -243,6 +246,12 @@
                             assert!(client.http().starts_with("HTTP/1.1 200 "));
                         }
                     }
+                    ["busy", n] => {
+                        for n in 0..n.parse::<usize>().unwrap() {
+                            let name = format!("busy{n}");
+                            self.peer(&name).send(&ask(&name, "lookup", "0", "60000m"));
+                        }
+                    }
                     ["close", who] => drop(self.peers.remove(*who)),
                     ["reset", who] => {
                         let peer = self.peers.remove(*who).unwrap();
