Tell every client that finds no seat so, also as accepting ends, and without a reset

Found by reading the shutdown. Three ends in accept.rs lost what a client was owed: where accepting was cancelled while a client that had come waited for a seat (make_room, up to 0.25 s), its connection was dropped without a word; accept_rest, at the same moment, left those beyond the seats in the queue, which the system resets; and a client that was turned away had its 503 followed by a reset, since its request lay unread (broken pipe in the test). A connection without a seat is now one value whose drop turns it away, and it ends by half-close and drain.

--- a/crates/broker/src/front/accept.rs
+++ b/crates/broker/src/front/accept.rs
@@ -1,6 +1,7 @@
 //! Taking connections, for every front alike.
 
 use super::seats::{Seat, Seats};
+use crate::net::{LINGER, linger};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
@@ -22,6 +23,37 @@
     fn turn_away(&self, stream: &Async<TcpStream>);
 }
 
+/// A connection that has come and has no seat yet. Unless it gets one, also where accepting ends meanwhile, its
+/// client is told that there is no room.
+struct Arrived<'a, S: Serve> {
+    front: &'a Rc<S>,
+    executor: &'a LocalExecutor<'static>,
+    stream: Option<Async<TcpStream>>,
+}
+
+impl<S: Serve> Arrived<'_, S> {
+    fn sit(mut self, seat: Seat) {
+        if let Some(stream) = self.stream.take() {
+            self.executor.spawn(self.front.clone().serve(stream, seat)).detach();
+        }
+    }
+}
+
+impl<S: Serve> Drop for Arrived<'_, S> {
+    fn drop(&mut self) {
+        let Some(stream) = self.stream.take() else { return };
+        self.front.turn_away(&stream);
+        // Its request may lie unread, which would make the end a reset and lose what it was told.
+        if let Some(ending) = self.front.seats().end() {
+            let linger = async move {
+                let _ = linger(&stream, LINGER).await;
+                drop(ending);
+            };
+            self.executor.spawn(linger).detach();
+        }
+    }
+}
+
 /// Accepts connections until dropped.
 pub(super) async fn accept<S: Serve>(
     front: Rc<S>,
@@ -30,8 +62,12 @@
 ) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) if front.seats().make_room().await => take(&front, stream, &executor),
-            Ok((stream, _)) => front.turn_away(&stream),
+            Ok((stream, _)) => {
+                let arrived = Arrived { front: &front, executor: &executor, stream: Some(stream) };
+                if front.seats().make_room().await {
+                    arrived.sit(front.seats().take());
+                }
+            }
             Err(error) => {
                 warn!(name: "accept_failed", error = %error);
                 Timer::after(ACCEPT_PAUSE).await;
@@ -48,15 +84,12 @@
     listener: &Async<TcpListener>,
     executor: &LocalExecutor<'static>,
 ) {
-    while let Some(seat) = front.seats().try_take()
-        && let Ok((stream, _)) = listener.get_ref().accept()
+    while let Ok((stream, _)) = listener.get_ref().accept()
         && let Ok(stream) = Async::new(stream)
     {
-        executor.spawn(front.clone().serve(stream, seat)).detach();
+        let arrived = Arrived { front, executor, stream: Some(stream) };
+        if let Some(seat) = front.seats().try_take() {
+            arrived.sit(seat);
+        }
     }
 }
-
-fn take<S: Serve>(front: &Rc<S>, stream: Async<TcpStream>, executor: &LocalExecutor<'static>) {
-    let seat = front.seats().take();
-    executor.spawn(front.clone().serve(stream, seat)).detach();
-}
