--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -187,10 +187,6 @@
         input: &mut ReadBuffer,
     ) -> io::Result<(Response, bool)> {
         let mut ask = match self.shared.route(request) {
-            // It came after the broker was to end: it might not be done in time.
-            Routed::Query(_) if self.shared.stage() == Stage::Closing => {
-                return Ok((refuse_connection(&self.shared.settings), true));
-            }
             Routed::Query(ask) => ask,
             Routed::Answered { response, usable } => return Ok((response, usable)),
         };
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -20,7 +20,7 @@
 use http::header::{DATE, HeaderValue};
 use plover_admission::{Connection, budget};
 use plover_model::query::Names;
-use plover_query::{Response, Routed, date, route};
+use plover_query::{Response, Routed, date, refuse_connection, route};
 use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -33,7 +33,7 @@
     Serving,
     /// It is to end: it serves what still comes, but is no longer ready.
     Leaving,
-    /// It takes no new connections, and closes each once it is idle.
+    /// It takes no new connections nor queries, and closes each connection once it is idle.
     Closing,
 }
 
@@ -81,7 +81,13 @@
     }
 
     fn route(&self, request: &http::Request<Vec<u8>>) -> Routed {
-        route(request, self.stage() == Stage::Serving, &self.names, &self.settings)
+        match route(request, self.stage() == Stage::Serving, &self.names, &self.settings) {
+            // It came after the broker was to end: it might not be done in time.
+            Routed::Query(_) if self.stage() == Stage::Closing => {
+                Routed::Answered { response: refuse_connection(&self.settings), usable: true }
+            }
+            routed => routed,
+        }
     }
 
     /// With the time at which the answer is made (RFC 9110, section 6.6.1).
