--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -4,7 +4,7 @@
 use super::seats::{Rank, Seat, Seats};
 use super::{Shared, Stage};
 use crate::clock::limited;
-use crate::net::{linger, read_some};
+use crate::net::{LINGER, LINGER_IDLE, has_hung_up, linger, read_some};
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncWriteExt, FutureExt};
@@ -12,11 +12,12 @@
 use plover_admission::Connection;
 use plover_http1::{Fault, Limits, Message, Reader, RequestDecoder, Step, encode_response};
 use plover_model::query::Reply;
+use plover_model::time::Micros;
 use plover_query::{BODY_CAP, HEAD_CAP, Response, Routed, final_answer, refuse_connection};
 use std::io::{self, Write};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A request that has begun must be all there, and an answer taken, within this time: a client that trickles
 /// would else hold its connection for ever.
@@ -26,6 +27,8 @@
 const SILENCE: Duration = Duration::from_secs(2);
 /// How much may be read ahead while an answer is awaited.
 const AHEAD: usize = HEAD_CAP;
+/// How often one that has sent more than that is looked at: it may have gone behind what it sent.
+const LOOK: Duration = Duration::from_millis(50);
 /// What a request may take.
 const LIMITS: Limits = Limits { head: HEAD_CAP, body: BODY_CAP };
 
@@ -35,6 +38,22 @@
     seats: Rc<Seats>,
 }
 
+/// What has been read of a connection and not been used.
+struct ReadBuffer {
+    bytes: Vec<u8>,
+    /// When it last grew: a request that is whole in it came no later.
+    grown: Instant,
+}
+
+impl ReadBuffer {
+    /// Reads on; 0: the peer has closed.
+    async fn read(&mut self, stream: &Async<TcpStream>) -> io::Result<usize> {
+        let n = read_some(stream, &mut self.bytes).await?;
+        self.grown = Instant::now();
+        Ok(n)
+    }
+}
+
 /// How the reading of a request ended.
 enum Read {
     Whole(Box<Message<Request<Vec<u8>>>>),
@@ -46,9 +65,11 @@
         &self.seats
     }
 
-    /// An error is the client's going away, which its ticket has told.
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, _seat: Seat) {
-        let _ = self.connection(stream).await;
+    /// An error is the client's going away, which its ticket has told, or the broker's own: its end goes the same way.
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, seat: Seat) {
+        let most = self.connection(&stream).await.unwrap_or(LINGER);
+        let _ending = seat.end();
+        let _ = linger(&stream, most).await;
     }
 
     fn turn_away(&self, stream: &Async<TcpStream>) {
@@ -77,38 +98,39 @@
         self.seats.close_idle();
     }
 
-    async fn connection(&self, stream: Async<TcpStream>) -> io::Result<()> {
+    /// Serves until the connection is to end; for how long at most its client is waited for then.
+    async fn connection(&self, stream: &Async<TcpStream>) -> io::Result<Duration> {
         stream.get_ref().set_nodelay(true)?;
-        let mut input = Vec::new();
+        let mut input = ReadBuffer { bytes: Vec::new(), grown: Instant::now() };
         let mut decoder = RequestDecoder::new(LIMITS);
         let mut served = false;
         let number = self.shared.next_connection();
         loop {
-            if input.is_empty() && !self.first_bytes(&stream, &mut input, served).await? {
-                return Ok(());
+            if input.bytes.is_empty() && !self.first_bytes(stream, &mut input, served).await? {
+                return Ok(LINGER_IDLE);
             }
-            let message = match self.request(&stream, &mut decoder, &mut input, served).await {
+            let message = match self.request(stream, &mut decoder, &mut input, served).await {
                 Ok(Read::Whole(message)) => message,
-                Ok(Read::Bad(fault)) => return self.reject(&stream, fault.status(), fault.why()).await,
+                Ok(Read::Bad(fault)) => return self.reject(stream, fault.status(), fault.why()).await,
                 Err(e) if e.kind() == io::ErrorKind::TimedOut => {
-                    return self.reject(&stream, 408, "the request did not come in time").await;
+                    return self.reject(stream, 408, "the request did not come in time").await;
                 }
                 Err(e) => return Err(e),
             };
-            let (response, usable) = self.answer(number, &message.value, &stream, &mut input).await?;
+            let (response, usable) = self.answer(number, &message.value, stream, &mut input).await?;
             let reader = Reader {
                 version: message.value.version(),
                 head_only: message.value.method() == Method::HEAD,
                 keep_alive: message.keep_alive && self.shared.stage() == Stage::Serving,
             };
-            write(&stream, &encode_response(&self.shared.dated(response), reader)).await?;
+            write(stream, &encode_response(&self.shared.dated(response), reader)).await?;
             if !reader.keep_alive {
-                return if input.is_empty() { Ok(()) } else { linger(&stream).await };
+                return Ok(LINGER);
             }
             served |= usable;
-            if input.is_empty() {
+            if input.bytes.is_empty() {
                 // An idle connection holds no memory but its own.
-                input = Vec::new();
+                input.bytes = Vec::new();
             }
             // A client that sends without end must not keep the one thread from all others.
             yield_now().await;
@@ -119,12 +141,12 @@
     async fn first_bytes(
         &self,
         stream: &Async<TcpStream>,
-        input: &mut Vec<u8>,
+        input: &mut ReadBuffer,
         served: bool,
     ) -> io::Result<bool> {
         if self.shared.stage() == Stage::Closing {
             // What is there already has been taken: it is read and answered.
-            return Ok(read_some(stream, input).or(async { Ok(0) }).await? > 0);
+            return Ok(input.read(stream).or(async { Ok(0) }).await? > 0);
         }
         let spare = self.seats.spare(if served { Rank::Served } else { Rank::Fresh });
         let silent = Timer::after(if served { self.seats.idle_time() } else { SILENCE });
@@ -133,7 +155,7 @@
             Ok(0)
         };
         // A request that came beside the closing is taken: reading goes first.
-        Ok(read_some(stream, input).or(end).await? > 0)
+        Ok(input.read(stream).or(end).await? > 0)
     }
 
     /// Reads a request that has begun.
@@ -141,7 +163,7 @@
         &self,
         stream: &Async<TcpStream>,
         decoder: &mut RequestDecoder,
-        input: &mut Vec<u8>,
+        input: &mut ReadBuffer,
         served: bool,
     ) -> io::Result<Read> {
         let read = limited(MESSAGE_TIME, read_request(stream, decoder, input));
@@ -162,12 +184,14 @@
         number: Connection,
         request: &Request<Vec<u8>>,
         stream: &Async<TcpStream>,
-        input: &mut Vec<u8>,
+        input: &mut ReadBuffer,
     ) -> io::Result<(Response, bool)> {
-        let ask = match self.shared.route(request) {
+        let mut ask = match self.shared.route(request) {
             Routed::Query(ask) => ask,
             Routed::Answered { response, usable } => return Ok((response, usable)),
         };
+        // One that waited behind another has less time left than it says.
+        ask.patience = ask.patience.saturating_sub(input.grown.elapsed().as_micros() as Micros);
         let ticket = self.shared.inbox.ask(number, ask);
         let reply = async {
             let reply = ticket.reply().await;
@@ -175,32 +199,35 @@
         };
         let gone = async {
             // Clients send one request at a time; one that sends ahead is read on only so far.
-            while input.len() < AHEAD {
-                if read_some(stream, input).await? == 0 {
+            while input.bytes.len() < AHEAD {
+                if input.read(stream).await? == 0 {
                     return Err(io::ErrorKind::UnexpectedEof.into());
                 }
             }
-            futures_lite::future::pending().await
+            while !has_hung_up(stream) {
+                Timer::after(LOOK).await;
+            }
+            Err(io::ErrorKind::UnexpectedEof.into())
         };
         reply.or(gone).await
     }
 
-    /// Answers a request whose framing is lost, and ends its connection.
-    async fn reject(&self, stream: &Async<TcpStream>, status: u16, why: &str) -> io::Result<()> {
+    /// Answers a request whose framing is lost; its connection is to end.
+    async fn reject(&self, stream: &Async<TcpStream>, status: u16, why: &str) -> io::Result<Duration> {
         let response = final_answer(&Reply::Bad { status, why: why.to_owned() });
         write(stream, &encode_response(&self.shared.dated(response), LAST)).await?;
-        linger(stream).await
+        Ok(LINGER)
     }
 }
 
 async fn read_request(
     stream: &Async<TcpStream>,
     decoder: &mut RequestDecoder,
-    input: &mut Vec<u8>,
+    input: &mut ReadBuffer,
 ) -> io::Result<Read> {
     let mut told = false;
     loop {
-        match decoder.step(input) {
+        match decoder.step(&mut input.bytes) {
             Err(fault) => return Ok(Read::Bad(fault)),
             Ok(Step::Whole(message)) => return Ok(Read::Whole(Box::new(message))),
             Ok(Step::More(waits)) => {
@@ -208,7 +235,7 @@
                     told = true;
                     write(stream, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
                 }
-                if limited(SILENCE, read_some(stream, input)).await? == 0 {
+                if limited(SILENCE, input.read(stream)).await? == 0 {
                     return Err(io::ErrorKind::UnexpectedEof.into());
                 }
                 yield_now().await;
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -20,7 +20,7 @@
 use http::header::{DATE, HeaderValue};
 use plover_admission::{Connection, budget};
 use plover_model::query::Names;
-use plover_query::{Response, Routed, date, route};
+use plover_query::{Response, Routed, date, refuse_connection, route};
 use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -33,7 +33,7 @@
     Serving,
     /// It is to end: it serves what still comes, but is no longer ready.
     Leaving,
-    /// It takes no new connections, and closes each once it is idle.
+    /// It takes no new connections nor queries, and closes each connection once it is idle.
     Closing,
 }
 
@@ -81,7 +81,13 @@
     }
 
     fn route(&self, request: &http::Request<Vec<u8>>) -> Routed {
-        route(request, self.stage() == Stage::Serving, &self.names, &self.settings)
+        match route(request, self.stage() == Stage::Serving, &self.names, &self.settings) {
+            // It came after the broker was to end: it might not be done in time.
+            Routed::Query(_) if self.stage() == Stage::Closing => {
+                Routed::Answered { response: refuse_connection(&self.settings), usable: true }
+            }
+            routed => routed,
+        }
     }
 
     /// With the time at which the answer is made (RFC 9110, section 6.6.1).
@@ -184,43 +190,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::seats::{Rank, Seats};
-    use super::*;
-    use crate::clock::limited;
-    use brookbend::settings::{Message, decode};
-    use futures_lite::future::yield_now;
-    use std::net::TcpStream;
-
-    /// One that was to make room may get a request in the same moment and stay; accepting waited for its end,
-    /// and new connections were not taken meanwhile.
-    #[test]
-    fn accepting_goes_on_where_one_that_was_to_make_room_stays() {
-        let settings: serde_json::Value =
-            serde_json::from_str(include_str!("../../../model/tests/settings.json")).unwrap();
-        let site = decode(&Message::new("settings", settings.as_object().unwrap())).unwrap();
-        let shared = Shared::new(Rc::default(), site.settings, Names::default());
-        let executor = Rc::new(LocalExecutor::new());
-        let front = Rc::new(Http1::new(shared, 2));
-        let seats: Rc<Seats> = accept::Serve::seats(&*front).clone();
-        let stays = seats.take();
-        let _stays = seats.spare(Rank::Fresh);
-        let (leaving, seat) = (seats.clone(), seats.take());
-        let leaves = executor.spawn(async move {
-            leaving.spare(Rank::Served).closed().await;
-            drop(seat);
-        });
-        let listener = Rc::new(Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap());
-        let _client = TcpStream::connect(listener.get_ref().local_addr().unwrap()).unwrap();
-        let _accept = executor.spawn(accept::accept(front.clone(), listener, executor.clone()));
-        let taken = async {
-            leaves.await;
-            while front.open() < 2 {
-                yield_now().await;
-            }
-            Ok(())
-        };
-        async_io::block_on(executor.run(limited(Duration::from_secs(30), taken))).unwrap();
-        drop(stays);
-    }
-}
+mod tests;
--- a/crates/ploverport/tests/scenarios.rs
+++ b/crates/ploverport/tests/scenarios.rs
@@ -12,6 +12,7 @@
 //! sockets N                    most descriptors
 //! set POINTER JSON             a setting, by its JSON pointer
 //! open N                       clients idle0, idle1 ..., each of which has asked whether the program is ready
+//! busy N                       clients busy0, busy1 ..., each of which has asked something and waits
 //! send cN ask ID CLASS SHARDS DEADLINE     a shard may have its portion: 0:0.5,1:0.5
 //! send cN raw TEXT             with \r, \n and the like; `*N` after it repeats the last character
 //! send sN good|bad|later ID [VALUE]        send sN raw TEXT
@@ -25,7 +26,8 @@
 //! release sN                   and comes up, when it is tried again
 //! expect d|e REV|whole         a watch from this version on, or a call for the whole list
 //! expect log WORD ...          a line of the log that holds these words
-//! expect cN|sN closed          expect exit
+//! expect cN|sN closed          expect cN ended, by no reset       expect exit
+//! expect refused               nobody listens for clients any more
 //! close|reset cN|sN|d|e        wait MILLISECONDS              signal NAME
 //! within MILLISECONDS STEP     the step takes no longer than that
 //! config d|e|none|TEXT         the file is replaced by one that names this discovery or holds TEXT, or removed
@@ -189,6 +191,18 @@
                     ["expect", "exit"] => self.exit(),
                     ["expect", "log", words @ ..] => self.logged(words),
                     ["expect", who, "closed"] => self.peer(who).closed(),
+                    ["expect", who, "ended"] => {
+                        let peer = self.peer(who);
+                        while peer.stream.read(&mut [0; 4096]).unwrap() > 0 {}
+                        // One that was reset behind its end takes no more bytes.
+                        peer.send(b"\r\n");
+                    }
+                    ["expect", "refused"] => {
+                        let (until, listen) = (Instant::now() + BOUND, self.program.as_ref().unwrap().listen);
+                        while TcpStream::connect(listen).is_ok() {
+                            assert!(Instant::now() < until, "it still listens");
+                        }
+                    }
                     ["expect", who, rev] if is_discovery(who) => {
                         let call = self.peer(who).http();
                         let query =
@@ -232,6 +246,12 @@
                             assert!(client.http().starts_with("HTTP/1.1 200 "));
                         }
                     }
+                    ["busy", n] => {
+                        for n in 0..n.parse::<usize>().unwrap() {
+                            let name = format!("busy{n}");
+                            self.peer(&name).send(&ask(&name, "lookup", "0", "60000m"));
+                        }
+                    }
                     ["close", who] => drop(self.peers.remove(*who)),
                     ["reset", who] => {
                         let peer = self.peers.remove(*who).unwrap();
