Take back the copies of a part whose answer came while they waited to be sent

Found by reading. A part's second copy may wait for a dial while the first attempt's answer comes in. The module then sends that part no further, but leaves its copies out until the query ends (choice.rs calls them off in forget() alone), and the pool wrote them as soon as the connection was up: an attempt for a finished part, and work for nothing at a server that was slow to come up. Ruled out: copies that are written already, which only calling off could end. Broker::take_reports now takes back what is not begun of a part that was served, as it does for ended queries.

--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -53,8 +53,8 @@
     /// The turn's dispatches: they go out together at its end.
     dispatches: BTreeMap<AttemptId, Dispatch>,
     ended: Vec<Ended>,
-    /// Queries that ended in this turn.
-    over: Vec<QueryId>,
+    /// Queries that ended in this turn, and parts that came in.
+    over: Vec<(QueryId, Option<usize>)>,
     leaving_since: Option<Micros>,
     /// When to read the configuration again.
     reload_at: Option<Micros>,
@@ -192,7 +192,7 @@
                     asks.retain(|(ask, ..)| *ask != id);
                     self.core.leave(id);
                     self.queries.gone(now, id);
-                    self.over.push(id);
+                    self.over.push((id, None));
                 }
                 Input::Line(id, event) => self.upstream.hear(now, id, event),
                 Input::Targets(targets) => self.learn(now, targets.scope(), &targets),
@@ -212,8 +212,8 @@
         self.carry_out(now, decisions);
         let decisions = self.core.tick(now);
         self.carry_out(now, decisions);
-        for query in std::mem::take(&mut self.over) {
-            self.upstream.take_back(now, query);
+        for (query, part) in std::mem::take(&mut self.over) {
+            self.upstream.take_back(now, query, part);
         }
         let sends = std::mem::take(&mut self.dispatches);
         let sends = sends.into_values().filter_map(|d| self.send(now, d)).collect();
@@ -292,6 +292,9 @@
         ended.extend(self.upstream.take_ended(now));
         let report = |mut e: Ended| {
             self.queries.ended(now, &mut e);
+            if e.outcome == Outcome::Served {
+                self.over.push((e.attempt.query, Some(e.attempt.part)));
+            }
             Report { attempt: e.attempt, outcome: e.outcome, elapsed: e.elapsed, load: e.load }
         };
         ended.into_iter().map(report).collect()
@@ -319,7 +322,7 @@
     }
 
     fn finish(&mut self, now: Micros, query: QueryId, verdict: Verdict) {
-        self.over.push(query);
+        self.over.push((query, None));
         self.queries.finish(now, query, |values| match verdict {
             Verdict::Refuse { retry_after } => Reply::Refused { retry_after },
             Verdict::Fail => Reply::Failed,
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -243,11 +243,11 @@
         true
     }
 
-    /// Takes back what a query that has ended has not begun to send. Nothing of it reaches a server, so that it needs
-    /// no leave to call off.
-    pub fn take_back(&mut self, now: Micros, query: QueryId) {
-        let first = AttemptId { query, part: 0, attempt: 0 };
-        let last = AttemptId { query, part: usize::MAX, attempt: u32::MAX };
+    /// Takes back what a query that has ended, or one part of it that is in, has not begun to send. Nothing of it
+    /// reaches a server, so that it needs no leave to call off.
+    pub fn take_back(&mut self, now: Micros, query: QueryId, part: Option<usize>) {
+        let first = AttemptId { query, part: part.unwrap_or(0), attempt: 0 };
+        let last = AttemptId { query, part: part.unwrap_or(usize::MAX), attempt: u32::MAX };
         let out: Vec<AttemptId> = self.flights.range(first..=last).map(|(attempt, _)| *attempt).collect();
         for attempt in out {
             let Some(Flight { conn, wire, .. }) = self.flights.get(&attempt) else { continue };
--- a/crates/broker/src/upstream/tests.rs
+++ b/crates/broker/src/upstream/tests.rs
@@ -362,8 +362,8 @@
     pool.dispatch(0, sends(1, 2));
     pool.dispatch(0, sends(2, 1));
     pool.conns[&1].line.begin(0);
-    pool.take_back(10, 2);
-    pool.take_back(10, 1);
+    pool.take_back(10, 2, None);
+    pool.take_back(10, 1, None);
     assert_eq!(outcomes(&mut pool, 10), [Outcome::NotSent; 2]);
     assert!(pool.flights.keys().all(|attempt| attempt.query == 2));
 }
--- a/crates/ploverport/tests/scenarios.rs
+++ b/crates/ploverport/tests/scenarios.rs
@@ -18,11 +18,11 @@
 //! send sN good|bad|later ID [VALUE]        send sN raw TEXT
 //! send d|e REV all|some [SERVER=STATE ...] send d|e raw TEXT
 //! expect cN STATUS [WORD ...]  an answer that holds these words
-//! expect sN call ID ...        one call of these parts; sN may be `any`
+//! expect sN call ID ...        one call of these parts; sN may be `any`, and then `any.2`
 //! expect sN told ID MILLISECONDS          a call of this part, which is told to wait no longer
 //! expect sN give-up ID
 //! late sN                      connections to it do not come up from now on
-//! expect sN dialled            one is waiting to come up
+//! expect sN ... dialled        one is waiting to come up
 //! release sN                   and comes up, when it is tried again
 //! expect d|e REV|whole         a watch from this version on, or a call for the whole list
 //! expect log WORD ...          a line of the log that holds these words
@@ -211,8 +211,10 @@
                         assert_eq!(call.contains('?'), *rev != "whole", "{call}");
                     }
                     ["expect", who, "call", ids @ ..] => {
-                        let who = if *who == "any" { self.called() } else { (*who).to_owned() };
-                        let (letter, rest) = self.peer(&who).frame();
+                        if who.starts_with("any") {
+                            self.called(who);
+                        }
+                        let (letter, rest) = self.peer(who).frame();
                         assert_eq!(
                             (letter, parts(&rest)),
                             ('m', ids.iter().map(|i| i.to_string()).collect())
@@ -226,7 +228,7 @@
                         assert!(told <= most.parse().unwrap(), "{told}");
                     }
                     ["late", who] => self.late(who),
-                    ["expect", who, "dialled"] => self.dialled(who),
+                    ["expect", who @ .., "dialled"] => self.dialled(who),
                     ["release", who] => {
                         drop(accept(&[&self.listeners[*who]]));
                         self.late.remove(*who);
@@ -284,13 +286,14 @@
         self.late.insert(name.to_owned(), filler);
     }
 
-    /// Waits until somebody dials a listener in vain (state 02 of the system's table is SYN_SENT).
-    fn dialled(&self, name: &str) {
-        let port = format!(":{:04X}", self.listeners[name].local_addr().unwrap().port());
+    /// Waits until somebody dials one of the listeners in vain (state 02 of the system's table is SYN_SENT).
+    fn dialled(&self, names: &[&str]) {
+        let port = |name: &&str| format!(":{:04X}", self.listeners[*name].local_addr().unwrap().port());
+        let ports: Vec<String> = names.iter().map(port).collect();
         let until = Instant::now() + BOUND;
         let dials = |line: &str| {
             let words: Vec<&str> = line.split_whitespace().collect();
-            words.len() > 3 && words[2].ends_with(&port) && words[3] == "02"
+            words.len() > 3 && words[3] == "02" && ports.iter().any(|port| words[2].ends_with(port))
         };
         while !std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(dials) {
             assert!(Instant::now() < until, "nobody dials");
@@ -374,14 +377,13 @@
         self.peers.get_mut(name).unwrap()
     }
 
-    /// The data server that is called next, to be known as `any` from then on.
-    fn called(&mut self) -> String {
-        if !self.peers.contains_key("any") {
+    /// The data server that is called next, to be known by this name from then on.
+    fn called(&mut self, name: &str) {
+        if !self.peers.contains_key(name) {
             let servers = self.listeners.iter().filter(|(name, _)| name.starts_with('s')).map(|(_, l)| l);
             let stream = accept(&servers.collect::<Vec<_>>()).1;
-            self.peers.insert("any".to_owned(), Peer::new(stream));
+            self.peers.insert(name.to_owned(), Peer::new(stream));
         }
-        "any".to_owned()
     }
 
     fn tell(&mut self, who: &str, rev: &str, scope: &str, entries: &[&str]) {
