--- a/crates/broker/src/front/tests.rs
+++ b/crates/broker/src/front/tests.rs
@@ -6,16 +6,19 @@
 use std::io::Read;
 use std::net::TcpStream;
 
+fn shared() -> Rc<Shared> {
+    let settings: serde_json::Value =
+        serde_json::from_str(include_str!("../../../model/tests/settings.json")).unwrap();
+    let site = decode(&Message::new("settings", settings.as_object().unwrap())).unwrap();
+    Shared::new(Rc::default(), site.settings, Names::default())
+}
+
 /// One that was to make room may get a request in the same moment and stay; accepting waited for its end,
 /// and new connections were not taken meanwhile.
 #[test]
 fn accepting_goes_on_where_one_that_was_to_make_room_stays() {
-    let settings: serde_json::Value =
-        serde_json::from_str(include_str!("../../../model/tests/settings.json")).unwrap();
-    let site = decode(&Message::new("settings", settings.as_object().unwrap())).unwrap();
-    let shared = Shared::new(Rc::default(), site.settings, Names::default());
     let executor = Rc::new(LocalExecutor::new());
-    let front = Rc::new(Http1::new(shared, 2));
+    let front = Rc::new(Http1::new(shared(), 2));
     let seats: Rc<Seats> = accept::Serve::seats(&*front).clone();
     let stays = seats.take();
     let _stays = seats.spare(Rank::Fresh);
@@ -41,14 +44,10 @@
 /// The program is to end while a client that has come waits for a seat: it was closed without a word.
 #[test]
 fn one_that_waits_for_a_seat_as_accepting_ends_is_told_so() {
-    let settings: serde_json::Value =
-        serde_json::from_str(include_str!("../../../model/tests/settings.json")).unwrap();
-    let site = decode(&Message::new("settings", settings.as_object().unwrap())).unwrap();
-    let shared = Shared::new(Rc::default(), site.settings, Names::default());
     let executor = Rc::new(LocalExecutor::new());
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
     let mut client = TcpStream::connect(listener.get_ref().local_addr().unwrap()).unwrap();
-    let mut listening = Listening::start(Http1::new(shared, 1), listener, &executor);
+    let mut listening = Listening::start(Http1::new(shared(), 1), listener, &executor);
     let seats: Rc<Seats> = accept::Serve::seats(&*listening.front).clone();
     let _taken = seats.take();
     let spare = seats.spare(Rank::Served);
