--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -265,30 +265,31 @@
     fn abandon(&mut self, now: Micros, attempt: AttemptId, outcome: Outcome) {
         let Some(flight) = self.flights.get(&attempt) else { return };
         let (id, sent, wire) = (flight.conn, flight.sent, flight.wire.clone());
-        let unsent = self.conns.get(&id).is_some_and(|c| c.line.withdraw(&wire));
-        if let Some(conn) = self.conns.get_mut(&id).filter(|_| !unsent) {
+        let Some(conn) = self.conns.get_mut(&id) else { return self.end(now, attempt, outcome, None, None) };
+        let unsent = conn.line.withdraw(&wire);
+        if !unsent {
             if conn.given_up.len() >= self.limits.multiplex {
                 conn.given_up.pop_front();
             }
             conn.given_up.push_back(wire.clone());
             conn.line.put(Item::GiveUp(wire));
             conn.retiring |= conn.heard <= sent && now - sent >= SILENT_DIALS * self.limits.dial_timeout;
-            // Nothing gets through, the giving up neither: only the end of the connection keeps a further attempt
-            // at the part from being a second one beside it.
-            if conn.line.is_stuck() {
-                self.end(now, attempt, outcome, None, None);
-                return self.lose(now, id);
-            }
         }
-        // Still on this side when its time ended: never ran. The wait was for a connection that did not come up or
-        // takes nothing, unless there was none.
-        let waited = self.conns.get(&id).is_none_or(|c| !c.line.was_up() || c.line.is_stuck());
-        let outcome = match outcome {
-            Outcome::TimedOut if unsent && waited => Outcome::NoConnection,
-            Outcome::TimedOut if unsent => Outcome::NotSent,
-            outcome => outcome,
+        let (up, stuck) = (conn.line.was_up(), conn.line.is_stuck());
+        let timed_out = outcome == Outcome::TimedOut;
+        let outcome = match unsent && timed_out {
+            // Still on this side when its time ended: never ran. Unless there was none, the wait was for a connection
+            // that did not come up or takes nothing.
+            true if up && !stuck => Outcome::NotSent,
+            true => Outcome::NoConnection,
+            false => outcome,
         };
         self.end(now, attempt, outcome, None, None);
+        // Nothing gets through, the giving up neither: only the end of the connection keeps a further attempt at the
+        // part from being a second one beside it, or from waiting here in its turn.
+        if stuck && (!unsent || timed_out) {
+            self.lose(now, id);
+        }
     }
 
     /// The one place where an attempt is given back.
--- a/crates/broker/src/upstream/tests.rs
+++ b/crates/broker/src/upstream/tests.rs
@@ -285,6 +285,18 @@
     assert_eq!(server.read(&mut came).unwrap(), 0);
 }
 
+/// A connection that takes nothing looks idle once what waited for it was taken back: it must not be used again.
+#[test]
+fn a_connection_that_took_nothing_of_a_part_ends_with_its_time() {
+    let (ours, _server) = pair();
+    while ours.get_ref().write(&[0; 4096]).is_ok() {}
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 1).into_iter().map(|s| Send { until: 3600 * SECOND, ..s }).collect());
+    let line = pool.conns[&0].line.clone();
+    poll_write(&ours, &line);
+    assert_eq!((outcomes(&mut pool, 3600 * SECOND), pool.open()), (vec![Outcome::NoConnection], 0));
+}
+
 /// What a part waited for is no longer left to its client, and a part with nothing left is not sent.
 #[test]
 fn the_time_told_is_what_is_left_as_the_frame_is_written() {
