--- a/crates/broker/src/inbox.rs
+++ b/crates/broker/src/inbox.rs
@@ -15,7 +15,7 @@
     /// The client of a query has gone.
     Gone(QueryId),
     /// A connection to a data server has news.
-    Line(u64, LineEvent),
+    Conn(u64, ConnEvent),
     /// Discovery has news.
     Targets(Targets),
     /// The configuration is to be read again.
@@ -25,7 +25,7 @@
 }
 
 /// News of a connection to a data server.
-pub enum LineEvent {
+pub enum ConnEvent {
     /// A frame has come.
     Frame(FromServer),
     /// A frame has begun and is not all there yet.
--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -194,7 +194,7 @@
                     self.queries.gone(now, id);
                     self.over.push((id, None));
                 }
-                Input::Line(id, event) => self.upstream.hear(now, id, event),
+                Input::Conn(id, event) => self.upstream.hear(now, id, event),
                 Input::Targets(targets) => self.learn(now, targets.scope(), &targets),
                 Input::Reload => self.reload_at = Some(now),
                 Input::Terminate => self.terminate(now),
--- a/crates/broker/src/upstream/line.rs
+++ b/crates/broker/src/upstream/connection.rs
@@ -1,7 +1,7 @@
 //! One connection to a data server: what waits to be written, and the task that writes and reads.
 
 use crate::clock::{Clock, limited};
-use crate::inbox::{Inbox, Input, LineEvent};
+use crate::inbox::{ConnEvent, Inbox, Input};
 use crate::net::read_some;
 use async_channel::{Receiver, Sender};
 use async_io::Async;
@@ -35,7 +35,7 @@
 }
 
 /// What waits to be written to one connection. It can be taken back until the socket has taken its first byte.
-pub(super) struct Line {
+pub(super) struct SendQueue {
     waiting: RefCell<VecDeque<Item>>,
     /// Parts whose time was over before they could be written.
     lapsed: RefCell<BTreeSet<String>>,
@@ -47,9 +47,9 @@
     up: Cell<bool>,
 }
 
-impl Default for Line {
+impl Default for SendQueue {
     fn default() -> Self {
-        Line {
+        SendQueue {
             waiting: RefCell::default(),
             lapsed: RefCell::default(),
             writing: RefCell::default(),
@@ -60,7 +60,7 @@
     }
 }
 
-impl Line {
+impl SendQueue {
     pub(super) fn put(&self, item: Item) {
         self.waiting.borrow_mut().push_back(item);
         let _ = self.bell.0.try_send(());
@@ -170,41 +170,41 @@
     id: u64,
     endpoint: SocketAddr,
     dial: Micros,
-    line: Rc<Line>,
+    queue: Rc<SendQueue>,
     inbox: Rc<Inbox>,
     clock: Clock,
 ) {
     let end = match limited(Duration::from_micros(dial), Async::<TcpStream>::connect(endpoint)).await {
         Ok(stream) => {
-            line.up.set(true);
-            let written = async { LineEvent::Down(write(&stream, &line, clock).await) };
-            let read = async { read(&stream, id, &inbox).await.unwrap_or_else(LineEvent::Down) };
+            queue.up.set(true);
+            let written = async { ConnEvent::Down(write(&stream, &queue, clock).await) };
+            let read = async { read(&stream, id, &inbox).await.unwrap_or_else(ConnEvent::Down) };
             // Reading goes first: nothing is written into a connection that the server has closed by then.
             read.or(written).await
         }
-        Err(error) => LineEvent::Down(error),
+        Err(error) => ConnEvent::Down(error),
     };
-    inbox.put(Input::Line(id, end));
+    inbox.put(Input::Conn(id, end));
 }
 
 /// Writes until that fails.
-pub(super) async fn write(mut stream: &Async<TcpStream>, line: &Line, clock: Clock) -> io::Error {
+pub(super) async fn write(mut stream: &Async<TcpStream>, queue: &SendQueue, clock: Clock) -> io::Error {
     if let Err(error) = stream.get_ref().set_nodelay(true) {
         return error;
     }
     loop {
-        line.something().await;
-        let Some((item, frame)) = line.begin(clock.now()) else { continue };
+        queue.something().await;
+        let Some((item, frame)) = queue.begin(clock.now()) else { continue };
         let taken = match stream.get_ref().write(&frame) {
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                line.put_back(item);
-                line.blocked.set(true);
+                queue.put_back(item);
+                queue.blocked.set(true);
                 let writable = stream.writable().await;
-                line.blocked.set(false);
+                queue.blocked.set(false);
                 writable.map(|()| None)
             }
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {
-                line.put_back(item);
+                queue.put_back(item);
                 Ok(None)
             }
             taken => taken.map(Some),
@@ -215,14 +215,14 @@
             Err(error) => Err(error),
         };
         match written {
-            Ok(()) => line.written(),
+            Ok(()) => queue.written(),
             Err(error) => return error,
         }
     }
 }
 
 /// Reads until the connection ends, and tells how.
-async fn read(stream: &Async<TcpStream>, id: u64, inbox: &Inbox) -> io::Result<LineEvent> {
+async fn read(stream: &Async<TcpStream>, id: u64, inbox: &Inbox) -> io::Result<ConnEvent> {
     let mut input = Vec::new();
     loop {
         let mut used = 0;
@@ -231,16 +231,16 @@
                 Ok(None) => break,
                 Ok(Some((message, length))) => {
                     used += length;
-                    inbox.put(Input::Line(id, LineEvent::Frame(message)));
+                    inbox.put(Input::Conn(id, ConnEvent::Frame(message)));
                 }
-                Err(bad) => return Ok(LineEvent::Bad(bad)),
+                Err(bad) => return Ok(ConnEvent::Bad(bad)),
             }
         }
         input.drain(..used);
         if input.is_empty() {
             input = Vec::new();
         } else {
-            inbox.put(Input::Line(id, LineEvent::Begun));
+            inbox.put(Input::Conn(id, ConnEvent::Begun));
         }
         if read_some(stream, &mut input).await? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -4,12 +4,12 @@
 //! the drop of its task, which closes the socket. Tasks on sockets tell the pool what happened through the
 //! inbox; the pool acts on it in a turn.
 
-mod line;
+mod connection;
 
 use crate::clock::Clock;
-use crate::inbox::{Inbox, LineEvent};
+use crate::inbox::{ConnEvent, Inbox};
 use async_executor::{LocalExecutor, Task};
-use line::{Item, Line, Outgoing};
+use connection::{Item, Outgoing, SendQueue};
 use plover_frames::FromServer;
 use plover_model::limits::PoolLimits;
 use plover_model::query::{AttemptId, QueryId};
@@ -72,7 +72,7 @@
 
 struct Conn {
     server: NodeId,
-    line: Rc<Line>,
+    queue: Rc<SendQueue>,
     /// Runs the socket. Dropping it closes the socket.
     _task: Task<()>,
     /// What is out here, by its id on the wire.
@@ -192,7 +192,7 @@
             self.flights.insert(s.attempt, flight);
             parts.push(Outgoing { wire: s.wire, shard: s.shard, until: s.until, key: s.key, text: s.text });
         }
-        conn.line.put(Item::Call(parts));
+        conn.queue.put(Item::Call(parts));
     }
 
     /// A connection with room for so many parts: of the idle ones that which rested for longest, since a server
@@ -216,12 +216,18 @@
         }
         let id = self.next_conn;
         self.next_conn += 1;
-        let line = Rc::new(Line::default());
-        let task =
-            line::run(id, endpoint, self.limits.dial_timeout, line.clone(), self.inbox.clone(), self.clock);
+        let queue = Rc::new(SendQueue::default());
+        let task = connection::run(
+            id,
+            endpoint,
+            self.limits.dial_timeout,
+            queue.clone(),
+            self.inbox.clone(),
+            self.clock,
+        );
         let conn = Conn {
             server: name.clone(),
-            line,
+            queue,
             _task: self.executor.spawn(task),
             out: BTreeMap::new(),
             given_up: VecDeque::new(),
@@ -251,7 +257,7 @@
         let out: Vec<AttemptId> = self.flights.range(first..=last).map(|(attempt, _)| *attempt).collect();
         for attempt in out {
             let Some(Flight { conn, wire, .. }) = self.flights.get(&attempt) else { continue };
-            if self.conns.get(conn).is_some_and(|c| c.line.withdraw(wire)) {
+            if self.conns.get(conn).is_some_and(|c| c.queue.withdraw(wire)) {
                 self.end(now, attempt, Outcome::NotSent, None, None);
             }
         }
@@ -266,16 +272,16 @@
         let Some(flight) = self.flights.get(&attempt) else { return };
         let (id, sent, wire) = (flight.conn, flight.sent, flight.wire.clone());
         let Some(conn) = self.conns.get_mut(&id) else { return self.end(now, attempt, outcome, None, None) };
-        let unsent = conn.line.withdraw(&wire);
+        let unsent = conn.queue.withdraw(&wire);
         if !unsent {
             if conn.given_up.len() >= self.limits.multiplex {
                 conn.given_up.pop_front();
             }
             conn.given_up.push_back(wire.clone());
-            conn.line.put(Item::GiveUp(wire));
+            conn.queue.put(Item::GiveUp(wire));
             conn.retiring |= conn.heard <= sent && now - sent >= SILENT_DIALS * self.limits.dial_timeout;
         }
-        let (up, stuck) = (conn.line.was_up(), conn.line.is_stuck());
+        let (up, stuck) = (conn.queue.was_up(), conn.queue.is_stuck());
         let timed_out = outcome == Outcome::TimedOut;
         let outcome = match unsent && timed_out {
             // Still on this side when its time ended: never ran. Unless there was none, the wait was for a connection
@@ -312,12 +318,12 @@
     }
 
     /// Takes news of a connection.
-    pub fn hear(&mut self, now: Micros, id: u64, event: LineEvent) {
+    pub fn hear(&mut self, now: Micros, id: u64, event: ConnEvent) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         conn.heard = now;
         conn.begun = None;
         match event {
-            LineEvent::Frame(FromServer::Answer { id: wire, outcome, held, value }) => {
+            ConnEvent::Frame(FromServer::Answer { id: wire, outcome, held, value }) => {
                 if let Some(&attempt) = conn.out.get(&wire) {
                     let value = (outcome == Outcome::Served).then_some(value);
                     return self.end(now, attempt, outcome, held, value);
@@ -329,21 +335,21 @@
                     None => self.spoil(now, id, "its id is not out"),
                 }
             }
-            LineEvent::Begun if conn.out.is_empty() && conn.given_up.is_empty() => {
+            ConnEvent::Begun if conn.out.is_empty() && conn.given_up.is_empty() => {
                 self.spoil(now, id, "nothing is out");
             }
-            LineEvent::Begun => conn.begun = Some(now),
-            LineEvent::Frame(FromServer::Rejected(words)) => {
+            ConnEvent::Begun => conn.begun = Some(now),
+            ConnEvent::Frame(FromServer::Rejected(words)) => {
                 warn!(name: "upstream_rejected", server = %conn.server.0, words);
             }
-            LineEvent::Down(error) => {
+            ConnEvent::Down(error) => {
                 if !conn.out.is_empty() {
                     let out = conn.out.len();
                     warn!(name: "upstream_down", server = %conn.server.0, error = %error, out);
                 }
                 self.lose(now, id);
             }
-            LineEvent::Bad(bad) => self.spoil(now, id, bad.0),
+            ConnEvent::Bad(bad) => self.spoil(now, id, bad.0),
         }
     }
 
@@ -354,7 +360,7 @@
     fn spoil(&mut self, now: Micros, id: u64, error: &str) {
         let Some(conn) = self.conns.get(&id) else { return };
         warn!(name: "upstream_bad_frame", server = %conn.server.0, error, out = conn.out.len());
-        let unwritten = conn.line.unwritten();
+        let unwritten = conn.queue.unwritten();
         let mut out: Vec<(String, AttemptId)> = conn.out.clone().into_iter().collect();
         out.sort_by_key(|(_, attempt)| (self.flights.get(attempt).map(|f| f.sent), *attempt));
         let mut blamed = false;
@@ -376,7 +382,7 @@
     /// whether the server can be reached.
     fn lose(&mut self, now: Micros, id: u64) {
         let Some(conn) = self.conns.get(&id) else { return };
-        let (unwritten, was_up) = (conn.line.unwritten(), conn.line.was_up());
+        let (unwritten, was_up) = (conn.queue.unwritten(), conn.queue.was_up());
         for (wire, attempt) in conn.out.clone() {
             let outcome = match unwritten.contains(&wire) {
                 true if was_up => Outcome::NotSent,
@@ -392,7 +398,7 @@
     fn retire(&mut self, now: Micros, id: u64) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
         conn.retiring = true;
-        for wire in conn.line.withdraw_all() {
+        for wire in conn.queue.withdraw_all() {
             if let Some(&attempt) = self.conns.get(&id).and_then(|c| c.out.get(&wire)) {
                 self.end(now, attempt, Outcome::NotSent, None, None);
             }
--- a/crates/broker/src/upstream/tests.rs
+++ b/crates/broker/src/upstream/tests.rs
@@ -1,4 +1,4 @@
-use super::line::Outgoing;
+use super::connection::Outgoing;
 use super::*;
 use crate::inbox::Input;
 use async_io::Async;
@@ -44,13 +44,13 @@
     pool.take_ended(now).iter().map(|e| e.outcome).collect()
 }
 
-fn broken() -> LineEvent {
-    LineEvent::Down(std::io::ErrorKind::ConnectionReset.into())
+fn broken() -> ConnEvent {
+    ConnEvent::Down(std::io::ErrorKind::ConnectionReset.into())
 }
 
-fn answer(wire: &str) -> LineEvent {
+fn answer(wire: &str) -> ConnEvent {
     let (id, outcome, held) = (wire.to_owned(), Outcome::Served, Some(1.0));
-    LineEvent::Frame(FromServer::Answer { id, outcome, held, value: "v".to_owned() })
+    ConnEvent::Frame(FromServer::Answer { id, outcome, held, value: "v".to_owned() })
 }
 
 #[test]
@@ -82,9 +82,9 @@
 fn what_waits_behind_a_connection_that_was_up_is_not_sent() {
     let (mut pool, _listener) = pool(PoolLimits { sockets: 1, ..limits() });
     pool.dispatch(0, sends(1, 1));
-    let (executor, line) = (pool.executor.clone(), pool.conns[&0].line.clone());
+    let (executor, queue) = (pool.executor.clone(), pool.conns[&0].queue.clone());
     let written = async {
-        while !line.unwritten().is_empty() {
+        while !queue.unwritten().is_empty() {
             yield_now().await;
         }
     };
@@ -94,11 +94,11 @@
     assert_eq!(outcomes(&mut pool, 30), [Outcome::ConnectionLost, Outcome::NotSent]);
 }
 
-fn outcomes_of_spoilt(event: LineEvent, sent: usize) -> (Vec<Outcome>, usize) {
+fn outcomes_of_spoilt(event: ConnEvent, sent: usize) -> (Vec<Outcome>, usize) {
     let (mut pool, _listener) = pool(PoolLimits { batch: 4, ..limits() });
     pool.dispatch(0, sends(1, sent));
-    pool.conns[&0].line.begin(0);
-    pool.conns[&0].line.written();
+    pool.conns[&0].queue.begin(0);
+    pool.conns[&0].queue.written();
     pool.hear(10, 0, event);
     (outcomes(&mut pool, 20), pool.open())
 }
@@ -107,7 +107,7 @@
 /// It is one failure of the server, whatever else was out on the connection, and none of a query's own.
 #[test]
 fn a_spoilt_answer_fails_one_attempt_and_closes_its_connection() {
-    for event in [answer("q7.0"), LineEvent::Bad(plover_frames::BadFrame("noise"))] {
+    for event in [answer("q7.0"), ConnEvent::Bad(plover_frames::BadFrame("noise"))] {
         let outcomes = outcomes_of_spoilt(event, 3);
         assert_eq!(outcomes, (vec![Outcome::Error, Outcome::Cancelled, Outcome::Cancelled], 0));
     }
@@ -116,7 +116,7 @@
 /// A second copy or noise after a good answer fails nothing, but nobody can tell what else would come.
 #[test]
 fn surplus_after_a_good_answer_closes_the_connection_and_fails_nothing() {
-    for surplus in [answer("q1.0"), LineEvent::Begun, LineEvent::Bad(plover_frames::BadFrame("noise"))] {
+    for surplus in [answer("q1.0"), ConnEvent::Begun, ConnEvent::Bad(plover_frames::BadFrame("noise"))] {
         let (mut pool, _listener) = pool(limits());
         pool.dispatch(0, sends(1, 1));
         pool.hear(10, 0, answer("q1.0"));
@@ -130,8 +130,8 @@
 fn a_late_answer_to_what_was_given_up_is_passed_over() {
     let (mut pool, _listener) = pool(limits());
     pool.dispatch(0, sends(1, 2));
-    pool.conns[&0].line.begin(0);
-    pool.conns[&0].line.written();
+    pool.conns[&0].queue.begin(0);
+    pool.conns[&0].queue.written();
     pool.give_up(10, AttemptId { query: 1, part: 0, attempt: 0 });
     pool.hear(20, 0, answer("q1.0"));
     assert_eq!((outcomes(&mut pool, 20), pool.open()), (vec![Outcome::Cancelled], 1));
@@ -144,9 +144,9 @@
 fn a_frame_that_does_not_go_on_is_spoilt() {
     let (mut pool, _listener) = pool(limits());
     pool.dispatch(0, sends(1, 1));
-    pool.conns[&0].line.begin(0);
-    pool.conns[&0].line.written();
-    pool.hear(10, 0, LineEvent::Begun);
+    pool.conns[&0].queue.begin(0);
+    pool.conns[&0].queue.written();
+    pool.hear(10, 0, ConnEvent::Begun);
     assert_eq!(pool.due(), 10 + limits().dial_timeout);
     pool.sweep(9 + limits().dial_timeout);
     assert_eq!(pool.open(), 1);
@@ -201,20 +201,20 @@
     pool.dispatch(0, sends(1, 1));
     assert_eq!(outcomes(&mut pool, SECOND), [Outcome::NoConnection]);
     pool.dispatch(0, sends(2, 2));
-    let line = pool.conns[&0].line.clone();
-    line.begin(0);
+    let queue = pool.conns[&0].queue.clone();
+    queue.begin(0);
     pool.hear(20, 0, broken());
     assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection; 2]);
     pool.dispatch(30, sends(3, 1));
     let (executor, inbox) = (pool.executor.clone(), pool.inbox.clone());
-    let line = pool.conns[&1].line.clone();
+    let queue = pool.conns[&1].queue.clone();
     let written = async {
-        while !line.unwritten().is_empty() {
+        while !queue.unwritten().is_empty() {
             yield_now().await;
         }
     };
     async_io::block_on(executor.run(written));
-    assert!(!inbox.take().iter().any(|i| matches!(i, Input::Line(1, LineEvent::Down(_)))));
+    assert!(!inbox.take().iter().any(|i| matches!(i, Input::Conn(1, ConnEvent::Down(_)))));
     pool.hear(40, 1, broken());
     assert_eq!(outcomes(&mut pool, 30), [Outcome::ConnectionLost]);
 }
@@ -225,8 +225,8 @@
     for spoke in [false, true] {
         let (mut pool, _listener) = pool(limits());
         pool.dispatch(0, sends(1, 2));
-        pool.conns[&0].line.begin(0);
-        pool.conns[&0].line.written();
+        pool.conns[&0].queue.begin(0);
+        pool.conns[&0].queue.written();
         if spoke {
             pool.hear(100, 0, answer("q1.1"));
         }
@@ -242,7 +242,7 @@
 fn a_connection_that_is_stuck_in_a_frame_ends_with_the_first_attempt_given_up() {
     let (mut pool, _listener) = pool(limits());
     pool.dispatch(0, sends(1, 2));
-    pool.conns[&0].line.begin(0);
+    pool.conns[&0].queue.begin(0);
     pool.give_up(SECOND / 2, AttemptId { query: 1, part: 0, attempt: 0 });
     assert_eq!(outcomes(&mut pool, SECOND / 2), [Outcome::Cancelled, Outcome::NoConnection]);
     assert_eq!(pool.open(), 0);
@@ -256,8 +256,8 @@
 }
 
 /// Polls the task once that writes to a socket.
-fn poll_write(stream: &Async<TcpStream>, line: &Line) {
-    let write = pin!(line::write(stream, line, Clock::start()));
+fn poll_write(stream: &Async<TcpStream>, queue: &SendQueue) {
+    let write = pin!(connection::write(stream, queue, Clock::start()));
     assert!(write.poll(&mut Context::from_waker(Waker::noop())).is_pending());
 }
 
@@ -274,13 +274,13 @@
     while let Ok(n) = ours.get_ref().write(&[0; 4096]) {
         before += n;
     }
-    let line = Line::default();
-    line.put(outgoing("q1.0", 3600 * SECOND));
-    poll_write(&ours, &line);
-    assert!(line.is_stuck() && line.withdraw("q1.0"));
+    let queue = SendQueue::default();
+    queue.put(outgoing("q1.0", 3600 * SECOND));
+    poll_write(&ours, &queue);
+    assert!(queue.is_stuck() && queue.withdraw("q1.0"));
     let mut came = vec![0; before];
     server.read_exact(&mut came).unwrap();
-    poll_write(&ours, &line);
+    poll_write(&ours, &queue);
     ours.get_ref().shutdown(Shutdown::Write).unwrap();
     assert_eq!(server.read(&mut came).unwrap(), 0);
 }
@@ -292,27 +292,27 @@
     while ours.get_ref().write(&[0; 4096]).is_ok() {}
     let (mut pool, _listener) = pool(limits());
     pool.dispatch(0, sends(1, 1).into_iter().map(|s| Send { until: 3600 * SECOND, ..s }).collect());
-    let line = pool.conns[&0].line.clone();
-    poll_write(&ours, &line);
+    let queue = pool.conns[&0].queue.clone();
+    poll_write(&ours, &queue);
     assert_eq!((outcomes(&mut pool, 3600 * SECOND), pool.open()), (vec![Outcome::NoConnection], 0));
 }
 
 /// What a part waited for is no longer left to its client, and a part with nothing left is not sent.
 #[test]
 fn the_time_told_is_what_is_left_as_the_frame_is_written() {
-    let line = Line::default();
+    let queue = SendQueue::default();
     let told = |now| {
-        let (_, frame) = line.begin(now)?;
-        line.written();
+        let (_, frame) = queue.begin(now)?;
+        queue.written();
         Some(String::from_utf8_lossy(&frame[5..]).into_owned())
     };
-    line.put(outgoing("q1.0", SECOND));
+    queue.put(outgoing("q1.0", SECOND));
     assert_eq!(told(250 * MILLI).as_deref(), Some("q1.0 0 d=750 8\nc41e77d0"));
-    line.put(outgoing("q2.0", SECOND));
-    line.put(outgoing("q3.0", 2 * SECOND));
+    queue.put(outgoing("q2.0", SECOND));
+    queue.put(outgoing("q3.0", 2 * SECOND));
     assert_eq!(told(SECOND).as_deref(), Some("q3.0 0 d=1000 8\nc41e77d0"));
     assert_eq!(told(SECOND), None);
-    assert!(line.unwritten().contains("q2.0") && line.withdraw("q2.0") && !line.withdraw("q2.0"));
+    assert!(queue.unwritten().contains("q2.0") && queue.withdraw("q2.0") && !queue.withdraw("q2.0"));
 }
 
 /// The server closes an idle connection, and a part goes out before the pool has heard of it: it must not end as
@@ -321,9 +321,9 @@
 fn a_part_that_meets_the_closing_of_an_idle_connection_never_ran() {
     let (mut pool, listener) = pool(limits());
     pool.dispatch(0, sends(1, 1));
-    let (executor, inbox, line) = (pool.executor.clone(), pool.inbox.clone(), pool.conns[&0].line.clone());
+    let (executor, inbox, queue) = (pool.executor.clone(), pool.inbox.clone(), pool.conns[&0].queue.clone());
     async_io::block_on(executor.run(async {
-        while !line.unwritten().is_empty() {
+        while !queue.unwritten().is_empty() {
             yield_now().await;
         }
     }));
@@ -342,7 +342,7 @@
             yield_now().await;
         }
     }));
-    assert!(matches!(news[..], [Input::Line(0, LineEvent::Down(_))]));
+    assert!(matches!(news[..], [Input::Conn(0, ConnEvent::Down(_))]));
     pool.hear(30, 0, broken());
     assert_eq!(outcomes(&mut pool, 30), [Outcome::NotSent]);
 }
@@ -352,10 +352,10 @@
 fn a_part_whose_time_was_over_before_it_was_written_blames_no_server() {
     let (mut pool, listener) = pool(limits());
     pool.dispatch(0, sends(1, 1));
-    let line = pool.conns[&0].line.clone();
+    let queue = pool.conns[&0].queue.clone();
     let executor = pool.executor.clone();
     let _server = async_io::block_on(executor.run(async {
-        while !line.unwritten().is_empty() {
+        while !queue.unwritten().is_empty() {
             yield_now().await;
         }
         listener.accept().unwrap()
@@ -363,7 +363,7 @@
     pool.hear(10, 0, answer("q1.0"));
     pool.take_ended(10);
     pool.dispatch(20, sends(2, 1));
-    assert!(line.begin(SECOND).is_none());
+    assert!(queue.begin(SECOND).is_none());
     assert_eq!(outcomes(&mut pool, SECOND), [Outcome::NotSent]);
 }
 
@@ -373,7 +373,7 @@
     let (mut pool, _listener) = pool(limits());
     pool.dispatch(0, sends(1, 2));
     pool.dispatch(0, sends(2, 1));
-    pool.conns[&1].line.begin(0);
+    pool.conns[&1].queue.begin(0);
     pool.take_back(10, 2, None);
     pool.take_back(10, 1, None);
     assert_eq!(outcomes(&mut pool, 10), [Outcome::NotSent; 2]);
