--- a/crates/broker/src/net.rs
+++ b/crates/broker/src/net.rs
@@ -44,8 +44,8 @@
 pub fn has_hung_up(stream: &Async<TcpStream>) -> bool {
     let mut polled = [PollFd::new(stream.get_ref(), PollFlags::RDHUP)];
     let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
-    // RDHUP alone is asked for; an error or a reset is always told.
-    poll(&mut polled, Some(&at_once)).is_ok() && !polled[0].revents().is_empty()
+    let over = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    poll(&mut polled, Some(&at_once)).is_ok() && polled[0].revents().intersects(over)
 }
 
 /// Ends a connection whose client may still be sending: unread bytes would make the end a reset. It is over as soon
