--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -145,8 +145,15 @@
         served: bool,
     ) -> io::Result<bool> {
         if self.shared.stage() == Stage::Closing {
-            // What is there already has been taken: it is read and answered.
-            return Ok(input.read(stream).or(async { Ok(0) }).await? > 0);
+            // What is there already has been taken: it is read and answered. A client that has just come may be about
+            // to ask, and is owed an answer too.
+            let late = async {
+                if !served {
+                    Timer::after(LINGER_IDLE).await;
+                }
+                Ok(0)
+            };
+            return Ok(input.read(stream).or(late).await? > 0);
         }
         let spare = self.seats.spare(if served { Rank::Served } else { Rank::Fresh });
         let silent = Timer::after(if served { self.seats.idle_time() } else { SILENCE });
--- a/crates/broker/src/front/tests.rs
+++ b/crates/broker/src/front/tests.rs
@@ -1,16 +1,18 @@
 use super::seats::{Rank, Seats};
 use super::*;
 use crate::clock::limited;
+use crate::net::read_some;
 use brookbend::settings::{Message, decode};
 use futures_lite::future::yield_now;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 
 fn shared() -> Rc<Shared> {
     let settings: serde_json::Value =
         serde_json::from_str(include_str!("../../../model/tests/settings.json")).unwrap();
     let site = decode(&Message::new("settings", settings.as_object().unwrap())).unwrap();
-    Shared::new(Rc::default(), site.settings, Names::default())
+    let names = Names { classes: vec!["a".into()], tenants: vec!["acme".into()], zones: Vec::new() };
+    Shared::new(Rc::default(), site.settings, names)
 }
 
 /// One that was to make room may get a request in the same moment and stay; accepting waited for its end,
@@ -61,3 +63,32 @@
     client.read_exact(&mut answer).unwrap();
     assert_eq!(&answer, b"HTTP/1.1 503");
 }
+
+/// The system has accepted a client as the program ceases to listen, and its request comes a moment later: it was
+/// closed with no answer.
+#[test]
+fn one_that_came_as_accepting_ended_is_answered() {
+    let executor = Rc::new(LocalExecutor::new());
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let mut client = TcpStream::connect(listener.get_ref().local_addr().unwrap()).unwrap();
+    let shared = shared();
+    let mut listening = Listening::start(Http1::new(shared.clone(), 1), listener, &executor);
+    let body = r#"{"ranges":[{"range":0,"portion":1}],"predicate":""}"#;
+    let head = "POST /a HTTP/1.1\r\nHost: a\r\nX-Request-Id: b\r\nX-Tenant: acme\r\n";
+    let request = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
+    let asked = async {
+        listening.close(&executor).await;
+        shared.set_stage(Stage::Closing);
+        // It is served, finds nothing, and waits.
+        for _ in 0..10 {
+            yield_now().await;
+        }
+        client.write_all(request.as_bytes())?;
+        let client = Async::new(client)?;
+        let mut answer = Vec::new();
+        while read_some(&client, &mut answer).await? > 0 {}
+        Ok(answer)
+    };
+    let answer = async_io::block_on(executor.run(limited(Duration::from_secs(30), asked))).unwrap();
+    assert!(answer.starts_with(b"HTTP/1.1 503"), "{:?}", String::from_utf8_lossy(&answer));
+}
