Do not send a keyed part after its window because its connection came up late

Ruled out: a client's repeat under the same key, which the register of keys holds off; the module, which asks the window at the choice. At fault: outgoing() in queries.rs asked it there too, and nobody at the write. A send now tells from when on it must not go out. The frame leaves such a part out, and the pool gives it back at that moment as not sent, unless it had left before.

--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -212,10 +212,12 @@
     pub(crate) fn outgoing(&mut self, now: Micros, d: Dispatch) -> Result<Send, Held> {
         let pending = self.pending.get_mut(&d.attempt.query).ok_or(Held::Over)?;
         let part = pending.ask.parts.get(d.attempt.part).ok_or(Held::Over)?;
+        let mut expires = None;
         if let Some(key) = &pending.ask.key {
             if !self.repeats.may_send(now, key, part.shard) {
                 return Err(Held::Repeat);
             }
+            expires = self.repeats.over_at(key, part.shard);
             self.repeats.sent(now, key, part.shard, d.until);
             self.keyed.insert(d.attempt, (key.clone(), part.shard));
         }
@@ -228,6 +230,7 @@
             attempt: d.attempt,
             server: d.server,
             until: d.until,
+            expires,
             wire: format!("{}.{}", pending.ask.id, part.shard),
             shard: part.shard,
             key: pending.ask.key.clone(),
--- a/crates/broker/src/upstream/connection.rs
+++ b/crates/broker/src/upstream/connection.rs
@@ -22,6 +22,8 @@
     pub(super) shard: usize,
     /// When the broker stops waiting for it. How long that is gets told as it is written.
     pub(super) until: Micros,
+    /// From when on it must not be sent any more.
+    pub(super) expires: Option<Micros>,
     pub(super) key: Option<Rc<str>>,
     pub(super) text: Rc<str>,
 }
@@ -135,7 +137,8 @@
             let frame = match &mut item {
                 Item::GiveUp(wire) => frame::give_up(wire),
                 Item::Call(parts) => {
-                    let over = |p: &mut Outgoing| p.until < now + MILLI;
+                    let over =
+                        |p: &mut Outgoing| p.until < now + MILLI || p.expires.is_some_and(|at| at <= now);
                     self.lapsed.borrow_mut().extend(parts.extract_if(.., over).map(|p| p.wire));
                     if parts.is_empty() {
                         continue;
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -39,6 +39,8 @@
     pub server: NodeId,
     /// When to stop waiting.
     pub until: Micros,
+    /// From when on it must not be sent any more, where something limits that.
+    pub expires: Option<Micros>,
     /// The part's id on the wire.
     pub wire: String,
     /// Its shard.
@@ -92,6 +94,8 @@
     wire: String,
     sent: Micros,
     until: Micros,
+    /// When it is looked at next: its time is over, or it must not be sent any more.
+    due: Micros,
 }
 
 /// The pools of all data servers.
@@ -187,10 +191,12 @@
         let mut parts = Vec::with_capacity(sends.len());
         for s in sends {
             conn.out.insert(s.wire.clone(), s.attempt);
-            self.deadlines.insert((s.until, s.attempt));
-            let flight = Flight { conn: id, wire: s.wire.clone(), sent: now, until: s.until };
+            let due = s.expires.map_or(s.until, |at| at.min(s.until));
+            self.deadlines.insert((due, s.attempt));
+            let flight = Flight { conn: id, wire: s.wire.clone(), sent: now, until: s.until, due };
             self.flights.insert(s.attempt, flight);
-            parts.push(Outgoing { wire: s.wire, shard: s.shard, until: s.until, key: s.key, text: s.text });
+            let Send { until, expires, wire, shard, key, text, .. } = s;
+            parts.push(Outgoing { wire, shard, until, expires, key, text });
         }
         conn.queue.put(Item::Call(parts));
     }
@@ -255,11 +261,14 @@
         let first = AttemptId { query, part: part.unwrap_or(0), attempt: 0 };
         let last = AttemptId { query, part: part.unwrap_or(usize::MAX), attempt: u32::MAX };
         let out: Vec<AttemptId> = self.flights.range(first..=last).map(|(attempt, _)| *attempt).collect();
-        for attempt in out {
-            let Some(Flight { conn, wire, .. }) = self.flights.get(&attempt) else { continue };
-            if self.conns.get(conn).is_some_and(|c| c.queue.withdraw(wire)) {
-                self.end(now, attempt, Outcome::NotSent, None, None);
-            }
+        out.into_iter().for_each(|attempt| self.withdraw(now, attempt));
+    }
+
+    /// Ends an attempt of which nothing has left yet.
+    fn withdraw(&mut self, now: Micros, attempt: AttemptId) {
+        let Some(Flight { conn, wire, .. }) = self.flights.get(&attempt) else { return };
+        if self.conns.get(conn).is_some_and(|c| c.queue.withdraw(wire)) {
+            self.end(now, attempt, Outcome::NotSent, None, None);
         }
     }
 
@@ -308,7 +317,7 @@
         value: Option<String>,
     ) {
         let Some(flight) = self.flights.remove(&attempt) else { return };
-        self.deadlines.remove(&(flight.until, attempt));
+        self.deadlines.remove(&(flight.due, attempt));
         if let Some(conn) = self.conns.get_mut(&flight.conn) {
             conn.out.remove(&flight.wire);
             conn.used = now;
@@ -430,8 +439,17 @@
     /// the module ends a query at the moment at which its attempts time out, and would else call them off first,
     /// so that no time-out ever reached it and silent servers went unnoticed.
     pub fn take_ended(&mut self, now: Micros) -> Vec<Ended> {
-        while let Some(&(_, attempt)) = self.deadlines.first().filter(|(until, _)| *until <= now) {
-            self.abandon(now, attempt, Outcome::TimedOut);
+        while let Some((due, attempt)) = self.deadlines.first().copied().filter(|(due, _)| *due <= now) {
+            match self.flights.get_mut(&attempt).filter(|flight| flight.until > now) {
+                // It must not be sent any more. If it was, it is waited for.
+                Some(flight) => {
+                    self.deadlines.remove(&(due, attempt));
+                    flight.due = flight.until;
+                    self.deadlines.insert((flight.due, attempt));
+                    self.withdraw(now, attempt);
+                }
+                None => self.abandon(now, attempt, Outcome::TimedOut),
+            }
         }
         std::mem::take(&mut self.ended)
     }
--- a/crates/broker/src/upstream/tests.rs
+++ b/crates/broker/src/upstream/tests.rs
@@ -32,6 +32,7 @@
         attempt: AttemptId { query, part, attempt: 0 },
         server: server(),
         until: SECOND,
+        expires: None,
         wire: format!("q{query}.{part}"),
         shard: part,
         key: None,
@@ -263,7 +264,7 @@
 
 fn outgoing(wire: &str, until: Micros) -> Item {
     let text = "c41e77d0".into();
-    Item::Call(vec![Outgoing { wire: wire.to_owned(), shard: 0, until, key: None, text }])
+    Item::Call(vec![Outgoing { wire: wire.to_owned(), shard: 0, until, expires: None, key: None, text }])
 }
 
 /// A send counts from its first byte: until the socket takes that, the part can be taken back.
@@ -379,3 +380,21 @@
     assert_eq!(outcomes(&mut pool, 10), [Outcome::NotSent; 2]);
     assert!(pool.flights.keys().all(|attempt| attempt.query == 2));
 }
+
+/// What must not be sent any more is given back at that moment; what was sent before is waited for.
+#[test]
+fn a_part_that_expires_is_given_back_unless_it_was_sent() {
+    let (mut pool, _listener) = pool(limits());
+    let expiring =
+        |query| sends(query, 1).into_iter().map(|s| Send { expires: Some(SECOND / 2), ..s }).collect();
+    pool.dispatch(0, expiring(1));
+    pool.dispatch(0, expiring(2));
+    pool.conns[&1].queue.begin(SECOND / 2 - 1);
+    assert_eq!(pool.due(), SECOND / 2);
+    assert!(outcomes(&mut pool, SECOND / 2 - 1).is_empty());
+    assert_eq!(outcomes(&mut pool, SECOND / 2), [Outcome::NotSent]);
+    assert_eq!(pool.due(), SECOND);
+    pool.conns[&1].queue.written();
+    assert_eq!(outcomes(&mut pool, SECOND), [Outcome::TimedOut]);
+    assert_eq!(pool.deadlines.len(), 0);
+}
--- a/crates/repeats/src/lib.rs
+++ b/crates/repeats/src/lib.rs
@@ -134,6 +134,12 @@
         part.is_none_or(|p| p.out == 0 && p.first.is_none_or(|first| now < first + self.window))
     }
 
+    /// When the window of a part is over of which an attempt may have run: from then on it may not be sent.
+    pub fn over_at(&self, key: &str, shard: usize) -> Option<Micros> {
+        let part = self.entries.get(key).and_then(|e| e.parts.get(&shard))?;
+        part.first.map(|first| first + self.window)
+    }
+
     /// An attempt at a part goes out, and is waited for until `until`.
     pub fn sent(&mut self, now: Micros, key: &str, shard: usize, until: Micros) {
         let Some(entry) = self.entries.get_mut(key) else { return };
