End a query at once when a part that it needs may not be repeated any more

What is given up has to be answered at once. Safe classes go on as before. Before, the test got no answer in the same batch; now a failure.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -549,8 +549,7 @@
         let span = OWN_SPAN_AIMS * self.shortest_aim();
         let seen = if copy { self.seen() } else { 1.0 };
         let per_request = if copy { (OWN_SHARE * seen).max(COPY_SHARE) } else { OWN_SHARE };
-        let own = AttemptBudget { spare: OWN_SPARE * seen, per_request, span };
-        let rule = self.set.budget.unwrap_or(own);
+        let rule = self.set.budget.unwrap_or(AttemptBudget { spare: OWN_SPARE * seen, per_request, span });
         let from = self.now - rule.span;
         // The window's ends are taken so that neither reading of them allows more than the rule.
         trim(&mut self.desk.taken, from + self.set.tick);
@@ -620,7 +619,7 @@
         };
         let have = sum(&|p| p.served);
         let spoiled = self.spoiled(q);
-        let possible = sum(&|p| p.served || self.alive(p, spoiled));
+        let possible = sum(&|p| p.served || self.alive(q, p, spoiled));
         let second = q.first_whole.is_some();
         let whole = if second { step.iter().all(|p| p.served) } else { have + ROUNDING >= class.need };
         if !step.is_empty() && whole {
@@ -649,8 +648,9 @@
     }
 
     /// Whether a part that is not in may still come.
-    fn alive(&self, p: &Piece, spoiled: bool) -> bool {
-        let left = (p.tries.len() as u32) < self.set.max_attempts && (p.tries.is_empty() || !spoiled);
+    fn alive(&self, q: &Held, p: &Piece, spoiled: bool) -> bool {
+        let again = p.tries.is_empty() || !spoiled && self.may_repeat(q, p);
+        let left = (p.tries.len() as u32) < self.set.max_attempts && again;
         p.tries.iter().any(|t| t.outcome.is_none()) || (left && !self.fleet.rows.of(p.shard).is_empty())
     }
 
--- a/crates/brookbend/tests/module.rs
+++ b/crates/brookbend/tests/module.rs
@@ -327,6 +327,19 @@
     }
 }
 
+/// Its client would else wait for its whole time for a part that nothing can bring any more.
+#[test]
+fn a_query_whose_part_may_not_be_repeated_any_more_fails_at_once() {
+    for semantics in [Semantics::Unsafe, Semantics::Keyed { window: 300.0 }] {
+        let class = Class { semantics, ..class() };
+        let mut s = Stand::new(Settings { classes: vec![class], second_copies: false, ..ring() }, 1);
+        s.ask("q", &[0]);
+        let lost = s.step(400.0, vec![ended("q.0", 0, Outcome::ConnectionLost, 400.0)]);
+        assert_eq!(finals(&lost), vec![Action::Fail { query: id("q") }]);
+        assert!(sends(&lost).is_empty());
+    }
+}
+
 #[test]
 fn rule_nothing_goes_to_a_draining_or_missing_server() {
     let mut s = Stand::new(ring(), 1);
