--- a/crates/broker/src/front/accept.rs
+++ b/crates/broker/src/front/accept.rs
@@ -1,6 +1,6 @@
 //! Taking connections, for every front alike.
 
-use super::seats::{Seat, Seats};
+use super::slots::{Slot, Slots};
 use crate::net::{LINGER, linger};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -15,15 +15,15 @@
 
 /// What is done with a connection.
 pub(super) trait Serve: 'static {
-    /// The front's seats.
-    fn seats(&self) -> &Rc<Seats>;
+    /// The front's slots.
+    fn slots(&self) -> &Rc<Slots>;
     /// Serves a connection to its end.
-    fn serve(self: Rc<Self>, stream: Async<TcpStream>, seat: Seat) -> impl Future<Output = ()>;
+    fn serve(self: Rc<Self>, stream: Async<TcpStream>, slot: Slot) -> impl Future<Output = ()>;
     /// Tells a client that there is no room for it. Nothing is waited for.
     fn turn_away(&self, stream: &Async<TcpStream>);
 }
 
-/// A connection that has come and has no seat yet. Unless it gets one, also where accepting ends meanwhile, its
+/// A connection that has come and has no slot yet. Unless it gets one, also where accepting ends meanwhile, its
 /// client is told that there is no room.
 struct Arrived<'a, S: Serve> {
     front: &'a Rc<S>,
@@ -32,9 +32,9 @@
 }
 
 impl<S: Serve> Arrived<'_, S> {
-    fn sit(mut self, seat: Seat) {
+    fn admit(mut self, slot: Slot) {
         if let Some(stream) = self.stream.take() {
-            self.executor.spawn(self.front.clone().serve(stream, seat)).detach();
+            self.executor.spawn(self.front.clone().serve(stream, slot)).detach();
         }
     }
 }
@@ -44,7 +44,7 @@
         let Some(stream) = self.stream.take() else { return };
         self.front.turn_away(&stream);
         // Its request may lie unread, which would make the end a reset and lose what it was told.
-        if let Some(ending) = self.front.seats().end() {
+        if let Some(ending) = self.front.slots().end() {
             let linger = async move {
                 let _ = linger(&stream, LINGER).await;
                 drop(ending);
@@ -64,8 +64,8 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let arrived = Arrived { front: &front, executor: &executor, stream: Some(stream) };
-                if front.seats().make_room().await {
-                    arrived.sit(front.seats().take());
+                if front.slots().make_room().await {
+                    arrived.admit(front.slots().take());
                 }
             }
             Err(error) => {
@@ -88,8 +88,8 @@
         && let Ok(stream) = Async::new(stream)
     {
         let arrived = Arrived { front, executor, stream: Some(stream) };
-        if let Some(seat) = front.seats().try_take() {
-            arrived.sit(seat);
+        if let Some(slot) = front.slots().try_take() {
+            arrived.admit(slot);
         }
     }
 }
--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 connections: one task each reads a request, waits for its one final answer, and writes it.
 
 use super::accept::Serve;
-use super::seats::{Rank, Seat, Seats};
+use super::slots::{Rank, Slot, Slots};
 use super::{Shared, Stage};
 use crate::clock::limited;
 use crate::net::{LINGER, LINGER_IDLE, has_hung_up, linger, read_some};
@@ -23,7 +23,7 @@
 /// would else hold its connection for ever.
 const MESSAGE_TIME: Duration = Duration::from_secs(10);
 /// A connection without a request, or one whose request does not go on, is closed after this time. Clients open
-/// connections in order to speak, and those that keep them for good would fill all seats with silence.
+/// connections in order to speak, and those that keep them for good would fill all slots with silence.
 const SILENCE: Duration = Duration::from_secs(2);
 /// How much may be read ahead while an answer is awaited.
 const AHEAD: usize = HEAD_CAP;
@@ -35,7 +35,7 @@
 /// The front of HTTP/1.1.
 pub struct Http1 {
     shared: Rc<Shared>,
-    seats: Rc<Seats>,
+    slots: Rc<Slots>,
 }
 
 /// What has been read of a connection and not been used.
@@ -61,14 +61,14 @@
 }
 
 impl Serve for Http1 {
-    fn seats(&self) -> &Rc<Seats> {
-        &self.seats
+    fn slots(&self) -> &Rc<Slots> {
+        &self.slots
     }
 
     /// An error is the client's going away, which its ticket has told, or the broker's own: its end goes the same way.
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, seat: Seat) {
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, slot: Slot) {
         let most = self.connection(&stream).await.unwrap_or(LINGER);
-        let _ending = seat.end();
+        let _ending = slot.end();
         let _ = linger(&stream, most).await;
     }
 
@@ -85,17 +85,17 @@
 impl Http1 {
     /// A front that holds so many connections at most.
     pub fn new(shared: Rc<Shared>, most: usize) -> Self {
-        Http1 { shared, seats: Seats::new(most) }
+        Http1 { shared, slots: Slots::new(most) }
     }
 
     /// Open connections.
     pub fn open(&self) -> usize {
-        self.seats.open()
+        self.slots.open()
     }
 
     /// Closes the connections that are idle.
     pub(super) fn close_idle(&self) {
-        self.seats.close_idle();
+        self.slots.close_idle();
     }
 
     /// Serves until the connection is to end; for how long at most its client is waited for then.
@@ -155,10 +155,10 @@
             };
             return Ok(input.read(stream).or(late).await? > 0);
         }
-        let spare = self.seats.spare(if served { Rank::Served } else { Rank::Fresh });
-        let silent = Timer::after(if served { self.seats.idle_time() } else { SILENCE });
+        let evictable = self.slots.evictable(if served { Rank::Served } else { Rank::Fresh });
+        let silent = Timer::after(if served { self.slots.idle_time() } else { SILENCE });
         let end = async {
-            spare.closed().or(async { _ = silent.await }).await;
+            evictable.closed().or(async { _ = silent.await }).await;
             Ok(0)
         };
         // A request that came beside the closing is taken: reading goes first.
@@ -177,9 +177,9 @@
         if served {
             return read.await;
         }
-        let spare = self.seats.spare(Rank::Beginning);
+        let evictable = self.slots.evictable(Rank::Beginning);
         let evicted = async {
-            spare.closed().await;
+            evictable.closed().await;
             Err(io::ErrorKind::ConnectionAborted.into())
         };
         read.or(evicted).await
--- a/crates/broker/src/front/http2/mod.rs
+++ b/crates/broker/src/front/http2/mod.rs
@@ -6,7 +6,7 @@
 mod stream;
 
 use super::accept::Serve;
-use super::seats::{Rank, Seat, Seats, Spare};
+use super::slots::{Evictable, Rank, Slot, Slots};
 use super::{Shared, Stage};
 use crate::clock::{Clock, limited, span};
 use crate::net::{LINGER, linger, read_some};
@@ -54,17 +54,17 @@
 /// The front of HTTP/2.
 pub struct Http2 {
     shared: Rc<Shared>,
-    seats: Rc<Seats>,
+    slots: Rc<Slots>,
     limits: Cell<budget::Http2>,
     clock: Clock,
 }
 
 impl Serve for Http2 {
-    fn seats(&self) -> &Rc<Seats> {
-        &self.seats
+    fn slots(&self) -> &Rc<Slots> {
+        &self.slots
     }
 
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, _seat: Seat) {
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, _slot: Slot) {
         let connection = self.shared.next_connection();
         let stream = Rc::new(stream);
         let ahead = match self.preface(&stream).await {
@@ -89,12 +89,12 @@
 impl Http2 {
     /// A front with these limits.
     pub fn new(shared: Rc<Shared>, limits: budget::Http2, clock: Clock) -> Self {
-        Http2 { shared, seats: Seats::new(limits.connections), limits: Cell::new(limits), clock }
+        Http2 { shared, slots: Slots::new(limits.connections), limits: Cell::new(limits), clock }
     }
 
     /// Open connections.
     pub fn open(&self) -> usize {
-        self.seats.open()
+        self.slots.open()
     }
 
     /// Takes other limits, for connections that come from now on; the number of these stays.
@@ -107,7 +107,7 @@
     async fn preface(&self, stream: &Async<TcpStream>) -> Result<Vec<u8>, Option<Violation>> {
         let mut guard = Guard::new(0, Budget::new(1, 1));
         let mut ahead = Vec::new();
-        let spare = self.seats.spare(Rank::Fresh);
+        let evictable = self.slots.evictable(Rank::Fresh);
         let read = async {
             while ahead.len() < PREFACE.len() {
                 let seen = ahead.len();
@@ -120,7 +120,7 @@
             Ok(())
         };
         let late = async {
-            spare.closed().or(async { _ = Timer::after(span(SILENCE)).await }).await;
+            evictable.closed().or(async { _ = Timer::after(span(SILENCE)).await }).await;
             Err(None)
         };
         read.or(late).await?;
@@ -332,10 +332,10 @@
         let stage = shared.stage();
         let idle = self.streams.is_empty() && self.phase == Phase::Serving;
         let rank = if self.served { Rank::Served } else { Rank::Fresh };
-        let spare: Option<Spare<'_>> = idle.then(|| self.front.seats.spare(rank));
+        let evictable: Option<Evictable<'_>> = idle.then(|| self.front.slots.evictable(rank));
         let evicted = async {
-            match &spare {
-                Some(spare) => spare.closed().await,
+            match &evictable {
+                Some(evictable) => evictable.closed().await,
                 None => futures_lite::future::pending().await,
             }
         };
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -6,7 +6,7 @@
 mod accept;
 mod http1;
 mod http2;
-mod seats;
+mod slots;
 
 pub use http1::Http1;
 pub use http2::Http2;
--- a/crates/broker/src/front/seats.rs
+++ b/crates/broker/src/front/slots.rs
@@ -1,4 +1,4 @@
-//! Seats for client connections: how many there are, and who makes room when they run out.
+//! Slots for client connections: how many there are, and who makes room when they run out.
 
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -10,14 +10,14 @@
 use tracing::warn;
 
 /// A connection that has served a request may be idle for so long, and for as long as the second once more than
-/// this share of the seats is taken: clients that ask once and keep their connection for good take descriptors
+/// this share of the slots is taken: clients that ask once and keep their connection for good take descriptors
 /// here, and at their own end from those who want to ask.
 pub(super) const IDLE: Duration = Duration::from_secs(2);
 pub(super) const IDLE_PRESSED: Duration = Duration::from_millis(250);
 const PRESSED: (usize, usize) = (1, 4);
 /// Longest wait for a connection to make room before another is asked to.
 const ROOM_PAUSE: Duration = Duration::from_millis(5);
-/// Most connections that may be ending beside the seats: the descriptors kept for the program's own use have room
+/// Most connections that may be ending beside the slots: the descriptors kept for the program's own use have room
 /// for them.
 const ENDING: usize = 16;
 /// Longest wait for room: then a new client is told that there is none, and can try another broker.
@@ -31,12 +31,12 @@
     /// Idle, and served before: its client is a usual one, which can open another.
     Served,
     /// In the middle of its first request: one who is just slow would fail, but half requests must not hold
-    /// all seats.
+    /// all slots.
     Beginning,
 }
 
-/// The seats of one front.
-pub(super) struct Seats {
+/// The slots of one front.
+pub(super) struct Slots {
     most: usize,
     open: Cell<usize>,
     /// Connections that are ending beside them.
@@ -44,71 +44,71 @@
     next: Cell<u64>,
     /// Of each connection that may be closed for want of room, its rank and age there: dropping the sender closes
     /// it, the first one first.
-    spare: RefCell<BTreeMap<(Rank, u64), Sender<()>>>,
+    evictable: RefCell<BTreeMap<(Rank, u64), Sender<()>>>,
     /// Rung when a connection ends.
     room: (Sender<()>, Receiver<()>),
 }
 
 /// Counts a connection for as long as it lives.
-pub(super) struct Seat(Rc<Seats>);
+pub(super) struct Slot(Rc<Slots>);
 
-impl Drop for Seat {
+impl Drop for Slot {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
         let _ = self.0.room.0.try_send(());
     }
 }
 
-/// Counts a connection that is ending: its seat is another's, while there is room beside the seats.
+/// Counts a connection that is ending: its slot is another's, while there is room beside the slots.
 pub(super) enum Ending {
-    Beside(Rc<Seats>),
-    Seated(#[expect(dead_code, reason = "held for its drop")] Seat),
+    Beside(Rc<Slots>),
+    InSlot(#[expect(dead_code, reason = "held for its drop")] Slot),
 }
 
 impl Drop for Ending {
     fn drop(&mut self) {
-        if let Ending::Beside(seats) = self {
-            seats.ending.set(seats.ending.get() - 1);
+        if let Ending::Beside(slots) = self {
+            slots.ending.set(slots.ending.get() - 1);
         }
     }
 }
 
-impl Seat {
+impl Slot {
     /// Its connection is ending.
     pub(super) fn end(self) -> Ending {
-        self.0.end().unwrap_or(Ending::Seated(self))
+        self.0.end().unwrap_or(Ending::InSlot(self))
     }
 }
 
 /// A place among the connections that may be closed, held until dropped.
-pub(super) struct Spare<'a> {
-    seats: &'a Seats,
+pub(super) struct Evictable<'a> {
+    slots: &'a Slots,
     key: (Rank, u64),
     closed: Receiver<()>,
 }
 
-impl Spare<'_> {
+impl Evictable<'_> {
     /// Waits until the connection is to make room.
     pub(super) async fn closed(&self) {
         let _: Result<(), _> = self.closed.recv().await;
     }
 }
 
-impl Drop for Spare<'_> {
+impl Drop for Evictable<'_> {
     fn drop(&mut self) {
-        self.seats.spare.borrow_mut().remove(&self.key);
+        self.slots.evictable.borrow_mut().remove(&self.key);
     }
 }
 
-impl Seats {
+impl Slots {
     /// So many connections at most.
     pub(super) fn new(most: usize) -> Rc<Self> {
-        Rc::new(Seats {
+        Rc::new(Slots {
             most,
             open: Cell::new(0),
             ending: Cell::new(0),
             next: Cell::new(0),
-            spare: RefCell::default(),
+            evictable: RefCell::default(),
             room: async_channel::bounded(1),
         })
     }
@@ -118,7 +118,7 @@
         self.open.get() + self.ending.get()
     }
 
-    /// Room for a connection to end beside the seats.
+    /// Room for a connection to end beside the slots.
     pub(super) fn end(self: &Rc<Self>) -> Option<Ending> {
         let room = self.ending.get() < ENDING;
         room.then(|| {
@@ -127,14 +127,14 @@
         })
     }
 
-    /// Takes a seat, whoever else is there.
-    pub(super) fn take(self: &Rc<Self>) -> Seat {
+    /// Takes a slot, whoever else is there.
+    pub(super) fn take(self: &Rc<Self>) -> Slot {
         self.open.set(self.open.get() + 1);
-        Seat(self.clone())
+        Slot(self.clone())
     }
 
-    /// Takes a seat if one is free.
-    pub(super) fn try_take(self: &Rc<Self>) -> Option<Seat> {
+    /// Takes a slot if one is free.
+    pub(super) fn try_take(self: &Rc<Self>) -> Option<Slot> {
         (self.open.get() < self.most).then(|| self.take())
     }
 
@@ -143,7 +143,7 @@
         let start = Instant::now();
         while self.open.get() >= self.most {
             let _ = self.room.1.try_recv(); // rung when there was room still
-            let evicted = self.spare.borrow_mut().pop_first().is_some();
+            let evicted = self.evictable.borrow_mut().pop_first().is_some();
             warn!(name: "front_full", open = self.open.get(), evicted);
             if start.elapsed() >= ROOM_TIME {
                 return false;
@@ -156,17 +156,17 @@
     }
 
     /// Lets the connection be closed for want of room.
-    pub(super) fn spare(&self, rank: Rank) -> Spare<'_> {
+    pub(super) fn evictable(&self, rank: Rank) -> Evictable<'_> {
         let key = (rank, self.next.get());
         self.next.set(key.1 + 1);
         let (stay, closed) = async_channel::bounded(1);
-        self.spare.borrow_mut().insert(key, stay);
-        Spare { seats: self, key, closed }
+        self.evictable.borrow_mut().insert(key, stay);
+        Evictable { slots: self, key, closed }
     }
 
     /// Closes all that are idle; those in the middle of a request go on.
     pub(super) fn close_idle(&self) {
-        self.spare.borrow_mut().retain(|(rank, _), _| *rank == Rank::Beginning);
+        self.evictable.borrow_mut().retain(|(rank, _), _| *rank == Rank::Beginning);
     }
 
     /// How long a connection that has served may be idle.
--- a/crates/broker/src/front/seats/tests.rs
+++ b/crates/broker/src/front/slots/tests.rs
@@ -4,23 +4,23 @@
 /// ours, and new requests never leave them.
 #[test]
 fn idle_connections_end_sooner_where_many_are_open() {
-    let seats = Seats::new(100);
+    let slots = Slots::new(100);
     let times = [0, 25, 26, 100].map(|open| {
-        seats.open.set(open);
-        seats.idle_time()
+        slots.open.set(open);
+        slots.idle_time()
     });
     assert_eq!(times, [IDLE, IDLE, IDLE_PRESSED, IDLE_PRESSED]);
 }
 
-/// A flood that says nothing must not push out usual clients, and half requests must not hold all seats.
+/// A flood that says nothing must not push out usual clients, and half requests must not hold all slots.
 #[test]
 fn room_is_made_by_those_who_have_asked_least() {
-    let seats = Seats::new(4);
+    let slots = Slots::new(4);
     let ranks = [Rank::Beginning, Rank::Served, Rank::Fresh, Rank::Served];
-    let spares = ranks.map(|rank| seats.spare(rank));
-    let closed = || spares.each_ref().map(|s| s.closed.is_closed());
+    let evictables = ranks.map(|rank| slots.evictable(rank));
+    let closed = || evictables.each_ref().map(|s| s.closed.is_closed());
     let mut order = Vec::new();
-    while seats.spare.borrow_mut().pop_first().is_some() {
+    while slots.evictable.borrow_mut().pop_first().is_some() {
         order.push(closed());
     }
     let expected = [
@@ -30,7 +30,7 @@
         [true, true, true, true],
     ];
     assert_eq!(order, expected);
-    let again = seats.spare(Rank::Served);
+    let again = slots.evictable(Rank::Served);
     drop(again);
-    assert!(seats.spare.borrow().is_empty());
+    assert!(slots.evictable.borrow().is_empty());
 }
--- a/crates/broker/src/front/tests.rs
+++ b/crates/broker/src/front/tests.rs
@@ -1,4 +1,4 @@
-use super::seats::{Rank, Seats};
+use super::slots::{Rank, Slots};
 use super::*;
 use crate::clock::limited;
 use crate::net::read_some;
@@ -21,13 +21,13 @@
 fn accepting_goes_on_where_one_that_was_to_make_room_stays() {
     let executor = Rc::new(LocalExecutor::new());
     let front = Rc::new(Http1::new(shared(), 2));
-    let seats: Rc<Seats> = accept::Serve::seats(&*front).clone();
-    let stays = seats.take();
-    let _stays = seats.spare(Rank::Fresh);
-    let (leaving, seat) = (seats.clone(), seats.take());
+    let slots: Rc<Slots> = accept::Serve::slots(&*front).clone();
+    let stays = slots.take();
+    let _stays = slots.evictable(Rank::Fresh);
+    let (leaving, slot) = (slots.clone(), slots.take());
     let leaves = executor.spawn(async move {
-        leaving.spare(Rank::Served).closed().await;
-        drop(seat);
+        leaving.evictable(Rank::Served).closed().await;
+        drop(slot);
     });
     let listener = Rc::new(Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap());
     let _client = TcpStream::connect(listener.get_ref().local_addr().unwrap()).unwrap();
@@ -43,18 +43,18 @@
     drop(stays);
 }
 
-/// The program is to end while a client that has come waits for a seat: it was closed without a word.
+/// The program is to end while a client that has come waits for a slot: it was closed without a word.
 #[test]
-fn one_that_waits_for_a_seat_as_accepting_ends_is_told_so() {
+fn one_that_waits_for_a_slot_as_accepting_ends_is_told_so() {
     let executor = Rc::new(LocalExecutor::new());
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
     let mut client = TcpStream::connect(listener.get_ref().local_addr().unwrap()).unwrap();
     let mut listening = Listening::start(Http1::new(shared(), 1), listener, &executor);
-    let seats: Rc<Seats> = accept::Serve::seats(&*listening.front).clone();
-    let _taken = seats.take();
-    let spare = seats.spare(Rank::Served);
+    let slots: Rc<Slots> = accept::Serve::slots(&*listening.front).clone();
+    let _taken = slots.take();
+    let evictable = slots.evictable(Rank::Served);
     let closed = async {
-        spare.closed().await; // asked to make room, it stays
+        evictable.closed().await; // asked to make room, it stays
         listening.close(&executor).await;
         Ok(())
     };
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -165,16 +165,16 @@
         assert_eq!((config.pool.batch, config.pool.dial_timeout, config.max_open), (2, 250_000, 100));
     }
 
-    /// As many clients as there are seats for, each in the middle of the longest request, must fit the memory.
+    /// As many clients as there are slots for, each in the middle of the longest request, must fit the memory.
     #[test]
     fn client_connections_fit_the_memory() {
         let mut config = config();
-        let seats = |config: &Value| -> usize {
+        let slots = |config: &Value| -> usize {
             divide(check(config, |_| None).unwrap().clients, None).unwrap().http1_connections
         };
-        assert_eq!(seats(&config), 661);
+        assert_eq!(slots(&config), 661);
         config["limits"]["memory_mb"] = json!(32);
-        assert_eq!(seats(&config), 153);
+        assert_eq!(slots(&config), 153);
     }
 
     #[test]
--- a/crates/ploverport/src/bench/memory.rs
+++ b/crates/ploverport/src/bench/memory.rs
@@ -9,7 +9,7 @@
 
 /// Streams of a connection.
 const STREAMS: usize = 100;
-/// Requests at once, over HTTP/1.1 as far as its seats go.
+/// Requests at once, over HTTP/1.1 as far as its slots go.
 pub(super) const SIZES: [(bool, usize); 5] =
     [(false, 250), (false, 500), (true, 250), (true, 500), (true, 1000)];
 
--- a/crates/ploverport/tests/http2/floods.rs
+++ b/crates/ploverport/tests/http2/floods.rs
@@ -149,7 +149,7 @@
     rig.program.logged("event=http2_half_sent").unwrap();
 }
 
-/// More connections than there are seats: those that ask are served, those that say nothing make room.
+/// More connections than there are slots: those that ask are served, those that say nothing make room.
 #[test]
 fn silent_connections_do_not_hold_the_seats() {
     let rig = crate::rig::rig_with(
--- a/crates/query/src/answer.rs
+++ b/crates/query/src/answer.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use std::time::SystemTime;
 
-/// When a client that found no seat is asked back: by then idle connections and half requests have ended.
+/// When a client that found no slot is asked back: by then idle connections and half requests have ended.
 const RETURN: Micros = 2_000_000;
 
 /// A response whose body is whole.
@@ -84,7 +84,7 @@
     }
 }
 
-/// What a client is told whose connection finds no seat.
+/// What a client is told whose connection finds no slot.
 pub fn refuse_connection(settings: &Settings) -> Response {
     let retry_after = settings.max_retry_after.map(|most| millis(most).min(RETURN));
     final_answer(&Reply::Refused { retry_after })
