--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -26,6 +26,9 @@
 /// Most connections to a server, where descriptors allow: one spoilt answer ends all that is out beside it, so
 /// that calls are spread while that costs little.
 const PER_SERVER: usize = 4;
+/// So many of the attempts that were given up on a connection may still be answered there. A slow server holds more of
+/// them than may be out at once.
+const GIVEN_UP: usize = 256;
 /// An attempt given up in so many dial time-outs without a word on its connection makes that suspect: a cut
 /// link leaves connections open and silent, and TCP does not notice.
 const SILENT_DIALS: Micros = 2;
@@ -283,7 +286,7 @@
         let Some(conn) = self.conns.get_mut(&id) else { return self.end(now, attempt, outcome, None, None) };
         let unsent = conn.queue.withdraw(&wire);
         if !unsent {
-            if conn.given_up.len() >= self.limits.multiplex {
+            if conn.given_up.len() >= GIVEN_UP {
                 conn.given_up.pop_front();
             }
             conn.given_up.push_back(wire.clone());
--- a/crates/broker/src/upstream/tests.rs
+++ b/crates/broker/src/upstream/tests.rs
@@ -140,6 +140,23 @@
     assert_eq!((outcomes(&mut pool, 30), pool.open()), (vec![Outcome::Error], 0));
 }
 
+/// A slow server answers in its turn what several rounds have given up: that must not end what is out now.
+#[test]
+fn late_answers_to_more_than_may_be_out_spoil_nothing() {
+    let (mut pool, _listener) = pool(PoolLimits { sockets: 1, ..limits() });
+    for query in 1..=limits().multiplex as u64 + 2 {
+        pool.dispatch(0, sends(query, 1));
+        pool.conns[&0].queue.begin(0);
+        pool.conns[&0].queue.written();
+        pool.give_up(10, AttemptId { query, part: 0, attempt: 0 });
+    }
+    pool.dispatch(20, sends(100, 1));
+    pool.take_ended(20);
+    pool.hear(30, 0, answer("q1.0"));
+    pool.hear(30, 0, answer("q100.0"));
+    assert_eq!((outcomes(&mut pool, 30), pool.open()), (vec![Outcome::Served], 1));
+}
+
 /// A length that does not fit promises bytes that never come: the attempt must not wait for its whole time.
 #[test]
 fn a_frame_that_does_not_go_on_is_spoilt() {
