Write each frame in the test of late answers, so that it fails without its mend

As committed it passed with the old bound too: the giving up of one attempt was begun in place of the next call, which was then withdrawn and never counted. With the bound of 4 it now ends as an error, with 256 it is served.

--- a/crates/broker/src/upstream/tests.rs
+++ b/crates/broker/src/upstream/tests.rs
@@ -146,8 +146,9 @@
     let (mut pool, _listener) = pool(PoolLimits { sockets: 1, ..limits() });
     for query in 1..=limits().multiplex as u64 + 2 {
         pool.dispatch(0, sends(query, 1));
-        pool.conns[&0].queue.begin(0);
-        pool.conns[&0].queue.written();
+        while pool.conns[&0].queue.begin(0).is_some() {
+            pool.conns[&0].queue.written();
+        }
         pool.give_up(10, AttemptId { query, part: 0, attempt: 0 });
     }
     pool.dispatch(20, sends(100, 1));
