Turn clients away at once where room has been waited for in vain

Found by reading the accepting: where every slot is held by a client that waits for an answer, make_room() waited 0.25 s for each client that came, and accept() takes one after the other, so that those behind were told nothing for as long: in the test the 21st that finds no slot had its 503 after 5.3 s, past the 3 s that even bad clients are owed, and its time may be over by then. Ruled out: idle clients, which make room within 5 ms. The wait is now one for all that come while there is no room and nobody to make it: under 0.3 s in the test.

--- a/crates/broker/src/front/slots.rs
+++ b/crates/broker/src/front/slots.rs
@@ -45,6 +45,8 @@
     /// Of each connection that may be closed for want of room, its rank and age there: dropping the sender closes
     /// it, the first one first.
     evictable: RefCell<BTreeMap<(Rank, u64), Sender<()>>>,
+    /// Since when there has been no room for one that came.
+    full_since: Cell<Option<Instant>>,
     /// Rung when a connection ends.
     room: (Sender<()>, Receiver<()>),
 }
@@ -109,6 +111,7 @@
             ending: Cell::new(0),
             next: Cell::new(0),
             evictable: RefCell::default(),
+            full_since: Cell::new(None),
             room: async_channel::bounded(1),
         })
     }
@@ -138,20 +141,23 @@
         (self.open.get() < self.most).then(|| self.take())
     }
 
-    /// Full: others make room for one that has come. False: none did.
+    /// Full: others make room for one that has come. False: none did. Where that was waited for in vain, those that
+    /// come behind are told at once, until there is room again or somebody to make it.
     pub(super) async fn make_room(&self) -> bool {
-        let start = Instant::now();
         while self.open.get() >= self.most {
             let _ = self.room.1.try_recv(); // rung when there was room still
             let evicted = self.evictable.borrow_mut().pop_first().is_some();
             warn!(name: "front_full", open = self.open.get(), evicted);
-            if start.elapsed() >= ROOM_TIME {
+            let since = self.full_since.get().unwrap_or_else(Instant::now);
+            self.full_since.set(Some(since));
+            if !evicted && since.elapsed() >= ROOM_TIME {
                 return false;
             }
             // Not for ever: what was to make room may have got a request in the same moment, and stay.
             let pause = async { _ = Timer::after(ROOM_PAUSE).await };
             async { _ = self.room.1.recv().await }.or(pause).await;
         }
+        self.full_since.set(None);
         true
     }
 
