Add the review case of a spoilt length that gives a caller a cut-off value

A data server's answer whose length is 4 bytes too small is served as a value of 12 digits in place of 16.

--- /dev/null
+++ b/review/standin/data_server.rs
@@ -0,0 +1,177 @@
+//! A stand-in for a data server, as in `PROTOCOL`, "Brokers to data servers".
+
+use crate::record::Record;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A part that has arrived.
+#[derive(Clone)]
+pub struct Attempt {
+    pub id: String,
+    pub shard: usize,
+    /// Time that the broker says it will wait, in milliseconds.
+    pub wait_ms: u64,
+    /// Arrival of the first byte of its frame.
+    pub first_byte: Instant,
+}
+
+pub struct DataServer {
+    pub name: String,
+    pub cell: usize,
+    pub port: u16,
+    /// Time that the server takes for a part.
+    work: Duration,
+    /// Number of calls with several parts that get a spoilt answer, until 0.
+    pub spoilt_left: Arc<AtomicI64>,
+    pub attempts: Mutex<Vec<Attempt>>,
+    record: Arc<Record>,
+}
+
+/// The value of a part: 16 hexadecimal digits that depend on the id of the part and on the query's
+/// text (FNV-1a).
+pub fn value_of(part_id: &str, text: &str) -> String {
+    let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
+    for byte in part_id.bytes().chain([b' ']).chain(text.bytes()) {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    format!("{hash:016x}")
+}
+
+/// Encodes a good answer. The length in the frame is `missing` bytes less than what follows it.
+fn good_answer(part_id: &str, value: &str, missing: usize) -> Vec<u8> {
+    let body = format!("q{part_id} good 1840277719 -\n{value}");
+    let length = (body.len() - missing) as u32;
+    [&length.to_be_bytes(), body.as_bytes()].concat()
+}
+
+impl DataServer {
+    pub fn start(
+        name: String,
+        cell: usize,
+        work: Duration,
+        spoilt_left: Arc<AtomicI64>,
+        record: Arc<Record>,
+    ) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let port = listener.local_addr().unwrap().port();
+        let server = Arc::new(DataServer {
+            name,
+            cell,
+            port,
+            work,
+            spoilt_left,
+            attempts: Mutex::default(),
+            record,
+        });
+        let accepting = server.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = accepting.clone();
+                thread::spawn(move || server.serve(stream));
+            }
+        });
+        server
+    }
+
+    /// Reads frames until the broker closes the connection.
+    fn serve(self: Arc<Self>, mut stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let writer = Arc::new(Mutex::new(stream.try_clone().expect("a descriptor")));
+        loop {
+            let mut length = [0; 4];
+            if stream.read_exact(&mut length[..1]).is_err() {
+                return;
+            }
+            let first_byte = Instant::now();
+            if stream.read_exact(&mut length[1..]).is_err() {
+                return;
+            }
+            let mut frame = vec![0; u32::from_be_bytes(length) as usize];
+            if stream.read_exact(&mut frame).is_err() {
+                return;
+            }
+            match frame.split_first() {
+                Some((b'm', parts)) => self.on_call(parts, first_byte, &writer),
+                // A cancellation stops no running work and drops no waiting work.
+                Some((b'n', id)) => {
+                    let id = String::from_utf8_lossy(id).into_owned();
+                    self.record.line(&format!("{} gives up {id}", self.name));
+                }
+                _ => return,
+            }
+        }
+    }
+
+    fn on_call(
+        self: &Arc<Self>,
+        mut rest: &[u8],
+        first_byte: Instant,
+        writer: &Arc<Mutex<TcpStream>>,
+    ) {
+        let last_byte = Instant::now();
+        let mut parts = Vec::new();
+        while !rest.is_empty() {
+            let end = rest.iter().position(|b| *b == b'\n').expect("a line");
+            let line = std::str::from_utf8(&rest[..end]).expect("a line of text");
+            let fields: Vec<&str> = line.split(' ').collect();
+            let length: usize = fields[3].parse().expect("a length");
+            let text = &rest[end + 1..end + 1 + length];
+            rest = &rest[end + 1 + length..];
+            let wait = fields[2].split(',').find_map(|o| o.strip_prefix("d="));
+            let attempt = Attempt {
+                id: fields[0].to_owned(),
+                shard: fields[1].parse().expect("a shard"),
+                wait_ms: wait.and_then(|w| w.parse().ok()).expect("a wait"),
+                first_byte,
+            };
+            let text = std::str::from_utf8(text).expect("a text").to_owned();
+            self.record.line_at(
+                last_byte,
+                &format!(
+                    "{} runs {} shard {} d={}",
+                    self.name, attempt.id, attempt.shard, attempt.wait_ms
+                ),
+            );
+            self.attempts.lock().unwrap().push(attempt.clone());
+            parts.push((attempt, text));
+        }
+        let is_spoilt = parts.len() > 1 && self.spoilt_left.fetch_sub(1, Ordering::SeqCst) > 0;
+        let (server, writer) = (self.clone(), writer.clone());
+        thread::spawn(move || {
+            thread::sleep(server.work);
+            if is_spoilt {
+                // The connection stays open, and nothing more is sent on it for this call.
+                server.answer(&parts[0], 4, &writer);
+            } else {
+                for part in &parts {
+                    server.answer(part, 0, &writer);
+                }
+            }
+        });
+    }
+
+    /// Answers a part. The length of the frame is `missing` bytes too short.
+    fn answer(
+        &self,
+        (attempt, text): &(Attempt, String),
+        missing: usize,
+        writer: &Mutex<TcpStream>,
+    ) {
+        let value = value_of(&attempt.id, text);
+        let frame = good_answer(&attempt.id, &value, missing);
+        let _ = writer.lock().unwrap().write_all(&frame);
+        let spoilt = if missing > 0 {
+            format!(", length {missing} bytes too short")
+        } else {
+            String::new()
+        };
+        self.record.line(&format!(
+            "{} answers {} good {value}{spoilt}",
+            self.name, attempt.id
+        ));
+    }
+}
