--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -14,7 +14,7 @@
 }
 trap 'kill "$standin" 2>/dev/null; end; exit 2' INT TERM HUP
 rm -f "$here/broker.pid"
-TMPDIR="$temporary" "$root/review/bin/standin" late-answer "$root" "$here" &
+TMPDIR="$temporary" "$root/review/bin/standin" wrong-value "$root" "$here" &
 standin=$!
 wait "$standin"
 code=$?
--- a/review/standin/broker.rs
+++ b/review/standin/broker.rs
@@ -119,6 +119,15 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Returns the memory of the process that is not backed by files, in KiB; 0 if it has ended.
+    pub fn anonymous_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).unwrap_or_default();
+        let line = status.lines().find_map(|l| l.strip_prefix("RssAnon:"));
+        let number = line.and_then(|line| line.trim().split(' ').next());
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+
     /// Returns what the broker has logged.
     pub fn log(&self) -> String {
         fs::read_to_string(self.folder.join("broker.log")).unwrap_or_default()
--- a/review/standin/data_server.rs
+++ b/review/standin/data_server.rs
@@ -19,14 +19,34 @@
     pub first_byte: Instant,
 }
 
+/// How an answer is spoilt.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Spoilt {
+    /// The answer to the first part of a call with several parts has a length that is 4 bytes too
+    /// short.
+    ShortLength,
+    /// In place of the answers to a call comes an answer with an unknown id, over and over, and
+    /// never ends while the connection is open.
+    Endless,
+}
+
+/// The spoilt answers that are to come, at any server.
+pub struct SpoiltAnswers {
+    pub kind: Spoilt,
+    /// Number of calls that still get one.
+    pub left: AtomicI64,
+}
+
+/// Time after which a server stops to send an endless answer.
+const MAX_ENDLESS: Duration = Duration::from_secs(5);
+
 pub struct DataServer {
     pub name: String,
     pub cell: usize,
     pub port: u16,
     /// Time that the server takes for a part.
     work: Duration,
-    /// Number of calls with several parts that get a spoilt answer, until 0.
-    pub spoilt_left: Arc<AtomicI64>,
+    spoilt: Arc<SpoiltAnswers>,
     pub attempts: Mutex<Vec<Attempt>>,
     record: Arc<Record>,
 }
@@ -53,7 +73,7 @@
         name: String,
         cell: usize,
         work: Duration,
-        spoilt_left: Arc<AtomicI64>,
+        spoilt: Arc<SpoiltAnswers>,
         record: Arc<Record>,
     ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -63,7 +83,7 @@
             cell,
             port,
             work,
-            spoilt_left,
+            spoilt,
             attempts: Mutex::default(),
             record,
         });
@@ -139,11 +159,15 @@
             self.attempts.lock().unwrap().push(attempt.clone());
             parts.push((attempt, text));
         }
-        let is_spoilt = parts.len() > 1 && self.spoilt_left.fetch_sub(1, Ordering::SeqCst) > 0;
+        let kind = self.spoilt.kind;
+        let may_spoil = kind == Spoilt::Endless || parts.len() > 1;
+        let is_spoilt = may_spoil && self.spoilt.left.fetch_sub(1, Ordering::SeqCst) > 0;
         let (server, writer) = (self.clone(), writer.clone());
         thread::spawn(move || {
             thread::sleep(server.work);
-            if is_spoilt {
+            if is_spoilt && kind == Spoilt::Endless {
+                server.answer_without_end(&parts[0].0, &writer);
+            } else if is_spoilt {
                 // The connection stays open, and nothing more is sent on it for this call.
                 server.answer(&parts[0], 4, &writer);
             } else {
@@ -174,4 +198,31 @@
             self.name, attempt.id
         ));
     }
+
+    /// Sends an answer with an unknown id over and over, until the connection is closed.
+    fn answer_without_end(&self, attempt: &Attempt, writer: &Mutex<TcpStream>) {
+        let body = ENDLESS;
+        let frame = [&(body.len() as u32).to_be_bytes(), body].concat();
+        let many = frame.repeat((1 << 20) / frame.len());
+        self.record.line(&format!(
+            "{} answers {} without end, each time: q + {:?}",
+            self.name,
+            attempt.id,
+            String::from_utf8_lossy(&body[1..])
+        ));
+        let started_at = Instant::now();
+        let mut sent = 0;
+        let mut writer = writer.lock().unwrap();
+        while started_at.elapsed() < MAX_ENDLESS {
+            match writer.write(&many[sent % many.len()..]) {
+                Ok(written) => sent += written,
+                Err(_) => break,
+            }
+        }
+        let text = format!("{} has sent {sent} bytes of an endless answer", self.name);
+        self.record.line(&text);
+    }
 }
+
+/// The endless answer: the form is right, but no part has this id.
+const ENDLESS: &[u8] = b"qx bad 0 -\n";
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,14 +11,14 @@
 
 use broker::{Broker, Deployment};
 use client::{Query, Response, ask, connect, full_report, read_response, value_in};
-use data_server::{DataServer, value_of};
+use data_server::{DataServer, Spoilt, SpoiltAnswers, value_of};
 use discovery::Discovery;
 use record::Record;
 use std::io::{self, BufReader, Write};
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -41,8 +41,7 @@
     discovery: Arc<Discovery>,
     broker: Broker,
     record: Arc<Record>,
-    /// Calls that still get a spoilt answer.
-    spoilt_left: Arc<AtomicI64>,
+    spoilt: Arc<SpoiltAnswers>,
     has_trouble: bool,
 }
 
@@ -52,14 +51,18 @@
         folder: &Path,
         deployment: &Deployment,
         work: Duration,
+        spoilt: Spoilt,
     ) -> io::Result<Self> {
         let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
         let record = Arc::new(Record::create(&folder.join("record.txt"), Instant::now())?);
         record.line(&format!("trouble: {has_trouble}"));
-        let spoilt_left = Arc::new(AtomicI64::new(0));
+        let spoilt = Arc::new(SpoiltAnswers {
+            kind: spoilt,
+            left: AtomicI64::new(0),
+        });
         let server = |cell| {
             let name = format!("s-{cell:08x}");
-            DataServer::start(name, cell, work, spoilt_left.clone(), record.clone())
+            DataServer::start(name, cell, work, spoilt.clone(), record.clone())
         };
         let servers: Vec<_> = (0..SERVERS).map(server).collect();
         let discovery = Discovery::start(&servers, record.clone());
@@ -70,7 +73,7 @@
             discovery,
             broker,
             record,
-            spoilt_left,
+            spoilt,
             has_trouble,
         })
     }
@@ -114,12 +117,18 @@
         sockets: 1024,
         memory_mb: 192,
     };
-    let bed = Bed::start(root, folder, &deployment, Duration::from_millis(20))?;
+    let bed = Bed::start(
+        root,
+        folder,
+        &deployment,
+        Duration::from_millis(20),
+        Spoilt::ShortLength,
+    )?;
     let mut broken = Vec::new();
     let mut answered = 0;
     for number in 0..40 {
         if number == 10 && bed.has_trouble {
-            bed.spoilt_left.store(3, Ordering::SeqCst);
+            bed.spoilt.left.store(3, Ordering::SeqCst);
         }
         let query = full_report(number * 7, 5, Duration::from_millis(3000), "c41e77d0");
         let (_, response) = bed.ask(&query);
@@ -138,7 +147,7 @@
             }
         }
     }
-    let all_spoilt = bed.spoilt_left.load(Ordering::SeqCst) <= 0;
+    let all_spoilt = bed.spoilt.left.load(Ordering::SeqCst) <= 0;
     let is_conclusive = answered >= 30 && all_spoilt;
     Ok((
         bed,
@@ -149,6 +158,60 @@
     ))
 }
 
+/// The broker's memory goes over its limit while a data server sends a spoilt answer without end.
+fn memory_limit(root: &Path, folder: &Path) -> io::Result<(Bed, Verdict)> {
+    const MEMORY_MB: u32 = 32;
+    const ENDLESS_ANSWERS: i64 = 1;
+    let deployment = Deployment {
+        aim_ms: 2000,
+        give_up_ms: 4000,
+        sockets: 1024,
+        memory_mb: MEMORY_MB,
+    };
+    let work = Duration::from_millis(20);
+    let bed = Bed::start(root, folder, &deployment, work, Spoilt::Endless)?;
+    let is_done = AtomicBool::new(false);
+    let (answered, peak_kb) = thread::scope(|scope| {
+        let watcher = scope.spawn(|| {
+            let mut peak_kb = 0;
+            while !is_done.load(Ordering::SeqCst) {
+                peak_kb = peak_kb.max(bed.broker.anonymous_memory_kb());
+                thread::sleep(Duration::from_millis(1));
+            }
+            peak_kb
+        });
+        let mut answered = 0;
+        for number in 0..60 {
+            if number % 10 == 5 && bed.has_trouble {
+                bed.record.line("the next call gets an endless answer");
+                bed.spoilt.left.store(ENDLESS_ANSWERS, Ordering::SeqCst);
+            }
+            let query = full_report(number * 7, 4, Duration::from_secs(3), "c41e77d0");
+            answered += u32::from(bed.ask(&query).1.is_some());
+        }
+        is_done.store(true, Ordering::SeqCst);
+        (answered, watcher.join().expect("the watcher"))
+    });
+    let limit_kb = u64::from(MEMORY_MB) * 1024;
+    bed.record.line(&format!(
+        "the broker's anonymous memory was {peak_kb} KiB at most, its limit is {limit_kb} KiB"
+    ));
+    let mut broken = Vec::new();
+    if peak_kb > limit_kb {
+        broken.push(format!(
+            "the broker took {peak_kb} KiB, over its limit of {limit_kb} KiB"
+        ));
+    }
+    let is_conclusive = answered > 0 && peak_kb > 0;
+    Ok((
+        bed,
+        Verdict {
+            broken,
+            is_conclusive,
+        },
+    ))
+}
+
 /// A query gets its final answer more than half a second after its time, while bad clients hold
 /// connections with half a request.
 fn late_answer(root: &Path, folder: &Path) -> io::Result<(Bed, Verdict)> {
@@ -160,7 +223,13 @@
         sockets: 256,
         memory_mb: 192,
     };
-    let bed = Bed::start(root, folder, &deployment, Duration::from_millis(130))?;
+    let bed = Bed::start(
+        root,
+        folder,
+        &deployment,
+        Duration::from_millis(130),
+        Spoilt::ShortLength,
+    )?;
     let wait = Duration::from_millis(300);
     for number in 0..20 {
         bed.ask(&full_report(number * 7, 4, wait, "c41e77d0"));
@@ -235,7 +304,13 @@
         sockets: 1024,
         memory_mb: 192,
     };
-    let bed = Bed::start(root, folder, &deployment, Duration::from_millis(20))?;
+    let bed = Bed::start(
+        root,
+        folder,
+        &deployment,
+        Duration::from_millis(20),
+        Spoilt::ShortLength,
+    )?;
     let started_at = Instant::now();
     let mut drained_at = None;
     let mut is_slow = false;
@@ -304,7 +379,13 @@
         sockets: 1024,
         memory_mb: 192,
     };
-    let bed = Bed::start(root, folder, &deployment, Duration::from_millis(250))?;
+    let bed = Bed::start(
+        root,
+        folder,
+        &deployment,
+        Duration::from_millis(250),
+        Spoilt::ShortLength,
+    )?;
     let wait = Duration::from_millis(1000);
     // Without the disruption, the same requests are sent one at a time.
     let text = "c41e77d0".repeat(250);
@@ -354,6 +435,7 @@
     };
     let (root, folder) = (PathBuf::from(root), PathBuf::from(folder));
     let (mut bed, verdict) = match case.as_str() {
+        "memory-limit" => memory_limit(&root, &folder)?,
         "wrong-value" => wrong_value(&root, &folder)?,
         "late-answer" => late_answer(&root, &folder)?,
         "slow-discovery" => slow_discovery(&root, &folder)?,
