Bound the event queue, whatever data servers, discovery and clients send

Seen by callers: nothing before the broker is killed.

Cause: a socket task queued an event for each frame and read on; the executor runs tasks up to 200 times before it polls the event loop. Counted on a scratch copy at each drain: 273,107 to 321,341 events of 136 bytes. The input buffer (some 250 reads of 16 KiB, decoded at once) and the log were ruled out.

Change: a socket task appends bytes to the receive buffer of its connection, and the event loop decodes them and stops at the first violation. Buffers are bounded each and together; a full one leaves the bytes in the socket, so TCP stops the server. The frame `r` ends its connection at once. Same cause on related paths: the watch of the endpoint list queued each list, and a query whose client had gone stayed queued.

Tests on real sockets, without the fix: 111,299 events in place of 1, 1,951 lists in place of 1, 2 events in place of 1. Tests that created frame events now pass bytes to the same pools and assert the same.

--- a/crates/broker-types/src/limits.rs
+++ b/crates/broker-types/src/limits.rs
@@ -11,6 +11,9 @@
     pub max_parts_per_call: usize,
     /// Maximum number of parts in flight on a connection.
     pub max_parts_per_connection: usize,
+    /// Maximum memory for data that was received on all connections and has not been decoded yet, in
+    /// bytes.
+    pub max_receive_bytes: usize,
     /// Maximum time for establishing a connection.
     pub dial_timeout: Duration,
     /// Time after which a server closes an idle connection. The broker closes its idle connections
--- a/crates/broker/src/discovery/watcher.rs
+++ b/crates/broker/src/discovery/watcher.rs
@@ -60,7 +60,7 @@
             let started_at = Instant::now();
             let list = client.fetch(self.revision).await?;
             let is_unchanged = self.revision == Some(list.revision);
-            self.on_list(list);
+            self.on_list(list).await;
             if is_unchanged && started_at.elapsed() < POLL_WAIT / 2 {
                 // Discovery has responded after less than half of the requested wait, although the
                 // list has not changed. If it always does so, polling without a pause would use all
@@ -72,12 +72,18 @@
     }
 
     /// Stores the revision of a received list and resets the backoff. Queues an event for the list
-    /// if it is a full list or holds at least one change.
-    fn on_list(&mut self, list: EndpointList) {
+    /// if it is a full list or holds at least one change, and then waits until the event loop has
+    /// taken it, so that the queue holds at most one list.
+    async fn on_list(&mut self, list: EndpointList) {
         self.revision = Some(list.revision);
         self.backoff.reset();
         if list.is_snapshot || !list.endpoints.is_empty() {
-            self.event_queue.push(Event::EndpointsUpdated(list));
+            self.event_queue
+                .push_and_wait(Event::EndpointsUpdated(list))
+                .await;
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/broker/src/event_loop/iteration.rs
+++ b/crates/broker/src/event_loop/iteration.rs
@@ -113,15 +113,13 @@
         self.processor.end_iteration(now);
     }
 
-    /// Handles all queued events. Returns the received queries, without those whose clients have
-    /// disconnected meanwhile.
+    /// Handles all queued events. Returns the received queries.
     fn handle_events(&mut self, now: Timestamp) -> Vec<ReceivedQuery> {
         let mut received = Vec::new();
         for event in self.event_queue.drain() {
             match event {
                 Event::QueryReceived(query) => received.push(query),
                 Event::ClientDisconnected { query } => {
-                    received.retain(|other| other.id != query);
                     self.processor.on_client_disconnected(now, query);
                 }
                 Event::ServerConnection { connection, event } => {
--- a/crates/broker/src/event_queue.rs
+++ b/crates/broker/src/event_queue.rs
@@ -2,16 +2,15 @@
 //! and the event loop drains the queue once per iteration.
 //!
 //! The queue owns an event until it is drained. The task that submits a query holds a
-//! [`QueryHandle`]. If it drops the handle before the final response has been sent, the queue
-//! receives an event that the client has disconnected.
+//! [`QueryHandle`]. If it drops the handle before the final response has been sent, the query is
+//! removed from the queue or, if it was drained before, the queue receives an event that the client
+//! has disconnected.
 
 use crate::notify::Notify;
 use admission::ConnectionId;
 use async_channel::{Receiver, Sender};
 use broker_types::query::{FinalResponse, QueryId, QueryRequest};
 use broker_types::server::EndpointList;
-use server_protocol::InvalidFrame;
-use server_protocol::broker::ServerMessage;
 use std::cell::{Cell, RefCell};
 use std::io;
 
@@ -57,21 +56,21 @@
 
 /// An event on a connection to a data server.
 pub enum ConnectionEvent {
-    /// A complete frame was received.
-    FrameReceived(ServerMessage),
-    /// Bytes of an incomplete frame were received. Reported after each read unless the received
-    /// bytes end with a complete frame, so the event shows that the incomplete frame has grown.
-    PartialFrameReceived,
+    /// Bytes were received and wait in the connection's receive buffer. While this event is queued,
+    /// further bytes are not reported again.
+    DataReceived,
     /// The connection was closed, or could not be opened.
     Closed(io::Error),
-    /// A frame could not be decoded. The connection is closed, because the broker cannot determine
-    /// where the next frame starts.
-    FrameInvalid(InvalidFrame),
 }
 
-/// The queue of events. It has no limit of its own, because its producers bound its length: each
-/// client connection has a limited number of queries in flight, and a data server that keeps to the
-/// protocol sends only responses to the attempts that are in flight on its connection.
+/// The queue of events. It has no limit of its own, because each of its producers bounds the number
+/// of its events, whatever clients and servers send:
+///
+/// - each client connection has a limited number of queries in flight, and a query is removed from
+///   the queue when its handle is dropped;
+/// - each connection to a data server has at most one [`ConnectionEvent::DataReceived`] and one
+///   [`ConnectionEvent::Closed`] in the queue;
+/// - the watch of the endpoint list waits until its last list was removed from the queue.
 pub struct EventQueue {
     events: RefCell<Vec<Event>>,
     /// Wakes the event loop.
@@ -79,6 +78,8 @@
     next_query: Cell<QueryId>,
     /// Number of queries among the queued events.
     pending_queries: Cell<usize>,
+    /// Notified when the event loop has removed the events.
+    drained: event_listener::Event,
 }
 
 impl Default for EventQueue {
@@ -88,6 +89,7 @@
             wake_up: Notify::new(),
             next_query: Cell::new(QueryId(1)),
             pending_queries: Cell::new(0),
+            drained: event_listener::Event::new(),
         }
     }
 }
@@ -123,9 +125,33 @@
     pub fn drain(&self) -> Vec<Event> {
         self.wake_up.clear();
         self.pending_queries.set(0);
+        self.drained.notify(usize::MAX);
         std::mem::take(&mut *self.events.borrow_mut())
     }
 
+    /// Appends an event and waits until the event loop has removed it.
+    pub async fn push_and_wait(&self, event: Event) {
+        let drained = self.drained.listen();
+        self.push(event);
+        drained.await;
+    }
+
+    /// Ends a query whose handle was dropped before its response was sent. Removes the query if it
+    /// is still queued, so that clients that disconnect right after their requests cannot fill the
+    /// queue; otherwise reports the disconnection.
+    fn abandon_query(&self, id: QueryId) {
+        let is_query =
+            |event: &Event| matches!(event, Event::QueryReceived(query) if query.id == id);
+        let mut events = self.events.borrow_mut();
+        if let Some(index) = events.iter().rposition(is_query) {
+            events.remove(index);
+            self.pending_queries.set(self.pending_queries.get() - 1);
+        } else {
+            drop(events);
+            self.push(Event::ClientDisconnected { query: id });
+        }
+    }
+
     /// Returns the number of queries in the queue, which the event loop has not received yet.
     pub fn pending_queries(&self) -> usize {
         self.pending_queries.get()
@@ -140,7 +166,7 @@
 }
 
 /// A handle of a query that was submitted to the event loop. Dropping the handle before the final
-/// response has been sent reports that the client has disconnected.
+/// response has been sent abandons the query, because its client has disconnected.
 pub struct QueryHandle<'a> {
     queue: &'a EventQueue,
     id: QueryId,
@@ -160,8 +186,7 @@
         // The event loop drops its sender, which closes the channel, when it sends the response. A
         // closed channel therefore means that the query is no longer in flight.
         if !self.response.is_closed() {
-            self.queue
-                .push(Event::ClientDisconnected { query: self.id });
+            self.queue.abandon_query(self.id);
         }
     }
 }
--- a/crates/broker/src/event_queue/tests.rs
+++ b/crates/broker/src/event_queue/tests.rs
@@ -41,6 +41,17 @@
     );
 }
 
+/// Guards against a queue that clients fill by disconnecting right after their requests.
+#[test]
+fn query_whose_handle_is_dropped_while_it_is_queued_leaves_no_event() {
+    let queue = EventQueue::default();
+    let kept = queue.submit_query(ConnectionId(3), request());
+    drop(queue.submit_query(ConnectionId(4), request()));
+    assert_eq!(queue.pending_queries(), 1);
+    let events = queue.drain();
+    assert!(matches!(&events[..], [Event::QueryReceived(query)] if query.id == kept.id));
+}
+
 #[test]
 fn handle_dropped_after_response_reports_nothing() {
     let queue = EventQueue::default();
--- a/crates/broker/src/net.rs
+++ b/crates/broker/src/net.rs
@@ -21,7 +21,7 @@
 /// already read the last response, if there was one, so a reset can no longer destroy it.
 pub const LINGER_IDLE: Duration = Duration::from_millis(100);
 /// Maximum number of bytes that one read takes from a socket.
-const READ_CHUNK_BYTES: usize = 16 * 1024;
+pub const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// Minimum number of bytes by which an input buffer grows.
 const MIN_GROWTH_BYTES: usize = READ_CHUNK_BYTES / 4;
 
--- a/crates/broker/src/upstream/connection.rs
+++ b/crates/broker/src/upstream/connection.rs
@@ -6,18 +6,19 @@
 use super::assignment::Assignment;
 use super::attempt::{AttemptOutcome, OutgoingAttempt, OutgoingPart};
 use super::cancelled_parts::CancelledParts;
-use super::connection_event::{EventEffect, ProtocolViolation};
+use super::connection_event::{FrameEffect, ProtocolViolation};
+use super::receive_buffer::ReceiveBuffer;
 use super::receive_progress::ReceiveProgress;
 use super::send_queue::{OutgoingFrame, SendQueue};
 use super::socket::SocketHandle;
 use super::timeouts::ConnectionTimeouts;
-use crate::event_queue::ConnectionEvent;
 use crate::event_queue::ServerConnectionId;
 use broker_types::query::AttemptId;
 use broker_types::server::{NodeId, Outcome};
 use broker_types::time::Timestamp;
 use server_protocol::broker::{PartResponse, ServerMessage};
 use std::collections::{BTreeMap, BTreeSet};
+use std::io;
 use std::rc::Rc;
 use tracing::warn;
 
@@ -112,6 +113,11 @@
         self.socket.send_queue()
     }
 
+    /// Returns the received bytes that have not been decoded yet.
+    pub(super) fn receive_buffer(&self) -> &ReceiveBuffer {
+        self.socket.receive_buffer()
+    }
+
     /// Returns whether no attempt is in flight.
     pub(super) fn is_idle(&self) -> bool {
         self.in_flight.is_empty()
@@ -223,28 +229,23 @@
         }
     }
 
-    /// Handles an event that the socket task has reported, and returns what the caller must do.
-    pub(super) fn on_event(&mut self, now: Timestamp, event: ConnectionEvent) -> EventEffect {
-        self.progress.on_event(now);
-        match event {
-            ConnectionEvent::FrameReceived(ServerMessage::PartResponse(response)) => {
-                self.on_response(response)
-            }
-            ConnectionEvent::FrameReceived(ServerMessage::FrameRejected(reason)) => {
+    /// Records that the socket task has reported received data. The caller handles the frames with
+    /// [`ServerConnection::next_effect`].
+    pub(super) fn on_data_received(&mut self, now: Timestamp) {
+        self.progress.on_data(now);
+        self.receive_buffer().clear_received();
+    }
+
+    /// Handles the next received frame and returns what the caller must do.
+    pub(super) fn next_effect(&mut self, now: Timestamp) -> FrameEffect {
+        match self.receive_buffer().next_message() {
+            Ok(Some(ServerMessage::PartResponse(response))) => self.on_response(response),
+            Ok(Some(ServerMessage::FrameRejected(reason))) => {
                 warn!(name: "server_connection_rejected", server = %self.server.0, reason);
-                EventEffect::Continue
+                FrameEffect::ConnectionLost
             }
-            ConnectionEvent::PartialFrameReceived => self.on_partial_frame(now),
-            ConnectionEvent::Closed(error) => {
-                if !self.is_idle() {
-                    warn!(
-                        name: "server_connection_lost", server = %self.server.0,
-                        error = %error, in_flight = self.in_flight.len()
-                    );
-                }
-                EventEffect::ConnectionLost
-            }
-            ConnectionEvent::FrameInvalid(invalid) => EventEffect::ProtocolViolated(invalid.into()),
+            Ok(None) => self.on_all_frames_handled(now),
+            Err(invalid) => FrameEffect::ProtocolViolated(invalid.into()),
         }
     }
 
@@ -253,24 +254,37 @@
     /// The response to a cancelled part may still arrive and is ignored. A response to any other
     /// part violates the protocol. The server may have sent it in place of the response to one of
     /// the parts in flight, which would then never arrive.
-    fn on_response(&mut self, response: PartResponse) -> EventEffect {
+    fn on_response(&mut self, response: PartResponse) -> FrameEffect {
         if let Some(&attempt) = self.in_flight.get(&response.id) {
-            EventEffect::EndAttempt { attempt, response }
+            FrameEffect::EndAttempt { attempt, response }
         } else if self.cancelled.remove(&response.id) {
-            EventEffect::Continue
+            FrameEffect::Continue
         } else {
-            EventEffect::ProtocolViolated(ProtocolViolation::UnexpectedResponse)
+            FrameEffect::ProtocolViolated(ProtocolViolation::UnexpectedResponse)
         }
     }
 
-    /// Handles the arrival of an incomplete frame, which violates the protocol if no response is
-    /// outstanding.
-    fn on_partial_frame(&mut self, now: Timestamp) -> EventEffect {
+    /// Determines the effect of the bytes after the last complete frame. The start of another frame
+    /// violates the protocol if no response is outstanding.
+    fn on_all_frames_handled(&mut self, now: Timestamp) -> FrameEffect {
+        if self.receive_buffer().is_empty() {
+            return FrameEffect::AwaitData;
+        }
         if self.is_idle() && self.cancelled.is_empty() {
-            return EventEffect::ProtocolViolated(ProtocolViolation::UnsolicitedData);
+            return FrameEffect::ProtocolViolated(ProtocolViolation::UnsolicitedData);
         }
         self.progress.on_partial_frame(now);
-        EventEffect::Continue
+        FrameEffect::AwaitData
+    }
+
+    /// Logs that the connection was closed or could not be opened, if attempts are in flight.
+    pub(super) fn log_loss(&self, reason: &io::Error) {
+        if !self.is_idle() {
+            warn!(
+                name: "server_connection_lost", server = %self.server.0,
+                error = %reason, in_flight = self.in_flight.len()
+            );
+        }
     }
 
     /// Logs a violation of the protocol.
--- a/crates/broker/src/upstream/connection_event.rs
+++ b/crates/broker/src/upstream/connection_event.rs
@@ -1,20 +1,22 @@
-//! The effects of a connection's events on its attempts.
+//! The effects of received frames on a connection and its attempts.
 
 use broker_types::query::AttemptId;
 use server_protocol::InvalidFrame;
 use server_protocol::broker::PartResponse;
 use thiserror::Error;
 
-/// What the caller must do after a connection has handled an event.
-pub(super) enum EventEffect {
-    /// Nothing: all attempts continue.
+/// What the caller must do after a connection has handled the next received frame.
+pub(super) enum FrameEffect {
+    /// Nothing: all attempts continue, and further frames may have been received.
     Continue,
+    /// Wait for further data: all received frames have been handled.
+    AwaitData,
     /// End an attempt with the response that has arrived for it.
     EndAttempt {
         attempt: AttemptId,
         response: PartResponse,
     },
-    /// Remove the connection, which was closed or could not be opened, and end all its attempts.
+    /// Remove the connection, which the server is about to close, and end all its attempts.
     ConnectionLost,
     /// Close the connection, because the server has violated the protocol, and end all its
     /// attempts.
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -9,15 +9,16 @@
 //! - `connection` owns the parts in flight on one connection and decides on the outcomes of its
 //!   attempts. It is composed of `receive_progress` (when anything was last received),
 //!   `cancelled_parts` (parts whose responses may still arrive), `send_queue` (frames to be
-//!   written) and `socket`.
+//!   written), `receive_buffer` (received bytes) and `socket`.
 //!
 //! Two modules make decisions without state of their own: `selection` chooses the connection for a
 //! call (one frame that requests one or several parts), and `timeouts` computes how long a
 //! connection may be idle, silent or stalled. `assignment`, `attempt` and `connection_event` hold
 //! plain data types.
 //!
-//! Each socket is served by a task of its own, which reports what happens as events in the event
-//! queue. The event loop takes the events from the queue and passes them to the pools.
+//! Each socket is served by a task of its own, which appends received bytes to the connection's
+//! receive buffer and reports what happens as events in the event queue. The event loop takes the
+//! events from the queue and passes them to the pools, which decode the frames.
 
 mod assignment;
 mod attempt;
@@ -27,6 +28,7 @@
 mod connection_event;
 mod connection_pool;
 mod pools;
+mod receive_buffer;
 mod receive_progress;
 mod selection;
 mod send_queue;
--- a/crates/broker/src/upstream/pools.rs
+++ b/crates/broker/src/upstream/pools.rs
@@ -6,7 +6,7 @@
 use super::attempt::{AttemptOutcome, AttemptResult, EndedAttempt, OutgoingAttempt};
 use super::attempt_tracker::{AttemptTracker, Expiry};
 use super::connection::{StopReason, StopResult};
-use super::connection_event::{EventEffect, ProtocolViolation};
+use super::connection_event::{FrameEffect, ProtocolViolation};
 use super::connection_pool::ConnectionPool;
 use super::socket::Connector;
 use crate::clock::Clock;
@@ -38,7 +38,7 @@
         clock: Clock,
         limits: PoolLimits,
     ) -> Self {
-        let connector = Connector::new(executor, event_queue, clock, limits.dial_timeout);
+        let connector = Connector::new(executor, event_queue, clock, &limits);
         ServerPools {
             connections: ConnectionPool::new(limits, connector),
             attempts: AttemptTracker::default(),
@@ -152,13 +152,33 @@
         let Some(connection) = self.connections.get_mut(id) else {
             return;
         };
-        match connection.on_event(now, event) {
-            EventEffect::Continue => {}
-            EventEffect::EndAttempt { attempt, response } => {
-                self.end_attempt(now, attempt, response);
+        match event {
+            ConnectionEvent::DataReceived => {
+                connection.on_data_received(now);
+                self.handle_frames(now, id);
+            }
+            ConnectionEvent::Closed(reason) => {
+                connection.log_loss(&reason);
+                self.on_connection_lost(now, id);
+            }
+        }
+    }
+
+    /// Handles the received frames of a connection, up to the first one after which the connection
+    /// is closed.
+    fn handle_frames(&mut self, now: Timestamp, id: ServerConnectionId) {
+        while let Some(connection) = self.connections.get_mut(id) {
+            match connection.next_effect(now) {
+                FrameEffect::Continue => {}
+                FrameEffect::AwaitData => return,
+                FrameEffect::EndAttempt { attempt, response } => {
+                    self.end_attempt(now, attempt, response);
+                }
+                FrameEffect::ConnectionLost => self.on_connection_lost(now, id),
+                FrameEffect::ProtocolViolated(violation) => {
+                    self.fail_connection(now, id, violation);
+                }
             }
-            EventEffect::ConnectionLost => self.on_connection_lost(now, id),
-            EventEffect::ProtocolViolated(violation) => self.fail_connection(now, id, violation),
         }
     }
 
--- a/crates/broker/src/upstream/receive_progress.rs
+++ b/crates/broker/src/upstream/receive_progress.rs
@@ -5,8 +5,8 @@
 
 /// Times of the latest progress in receiving on one connection.
 pub(super) struct ReceiveProgress {
-    /// Time at which the socket task last reported an event.
-    last_event_at: Timestamp,
+    /// Time at which received data was last reported.
+    last_data_at: Timestamp,
     /// Time at which the incomplete frame last grew. `None` if there is no incomplete frame.
     partial_frame_grew_at: Option<Timestamp>,
 }
@@ -15,15 +15,15 @@
     /// Creates the progress of a connection that starts to open at the time `now`.
     pub(super) fn new(now: Timestamp) -> Self {
         ReceiveProgress {
-            last_event_at: now,
+            last_data_at: now,
             partial_frame_grew_at: None,
         }
     }
 
-    /// Records that the socket task has reported an event. If the event is the growth of an
-    /// incomplete frame, [`ReceiveProgress::on_partial_frame`] must be called afterwards.
-    pub(super) fn on_event(&mut self, now: Timestamp) {
-        self.last_event_at = now;
+    /// Records that received data was reported. If it ends with an incomplete frame,
+    /// [`ReceiveProgress::on_partial_frame`] must be called afterwards.
+    pub(super) fn on_data(&mut self, now: Timestamp) {
+        self.last_data_at = now;
         self.partial_frame_grew_at = None;
     }
 
@@ -32,9 +32,9 @@
         self.partial_frame_grew_at = Some(now);
     }
 
-    /// Returns whether no event has been reported after `time`.
+    /// Returns whether no data has been reported after `time`.
     pub(super) fn is_silent_since(&self, time: Timestamp) -> bool {
-        self.last_event_at <= time
+        self.last_data_at <= time
     }
 
     /// Returns the time at which the incomplete frame counts as stalled unless it grows before:
--- a/crates/broker/src/upstream/socket.rs
+++ b/crates/broker/src/upstream/socket.rs
@@ -1,17 +1,16 @@
 //! The sockets of the connections. Each socket is opened, written and read by a task of its own,
 //! which reports what happens as events to the event queue.
 
+use super::receive_buffer::{ReadOutcome, ReceiveBudget, ReceiveBuffer};
 use super::send_queue::{SendQueue, StartedFrame};
 use crate::clock::{Clock, with_timeout};
 use crate::event_queue::ServerConnectionId;
 use crate::event_queue::{ConnectionEvent, Event, EventQueue};
-use crate::net::read_some;
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
+use broker_types::limits::PoolLimits;
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncWriteExt, FutureExt};
-use server_protocol::broker::decode;
-use server_protocol::{Decoded, InvalidFrame};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -25,6 +24,8 @@
     clock: Clock,
     /// Maximum time for establishing a connection.
     dial_timeout: Duration,
+    /// Memory for the receive buffers of all connections.
+    receive_budget: Rc<ReceiveBudget>,
 }
 
 impl Connector {
@@ -33,13 +34,14 @@
         executor: Rc<LocalExecutor<'static>>,
         event_queue: Rc<EventQueue>,
         clock: Clock,
-        dial_timeout: Duration,
+        limits: &PoolLimits,
     ) -> Self {
         Connector {
             executor,
             event_queue,
             clock,
-            dial_timeout,
+            dial_timeout: limits.dial_timeout,
+            receive_budget: ReceiveBudget::new(limits.max_receive_bytes),
         }
     }
 
@@ -50,16 +52,19 @@
         address: SocketAddr,
     ) -> SocketHandle {
         let send_queue = Rc::new(SendQueue::default());
+        let receive_buffer = Rc::new(ReceiveBuffer::new(self.receive_budget.clone()));
         let task = SocketTask {
             connection,
             address,
             dial_timeout: self.dial_timeout,
             send_queue: send_queue.clone(),
+            receive_buffer: receive_buffer.clone(),
             event_queue: self.event_queue.clone(),
             clock: self.clock,
         };
         SocketHandle {
             send_queue,
+            receive_buffer,
             _task: self.executor.spawn(task.run()),
         }
     }
@@ -68,6 +73,7 @@
 /// A socket that is served by a task. Dropping the handle closes the socket.
 pub(super) struct SocketHandle {
     send_queue: Rc<SendQueue>,
+    receive_buffer: Rc<ReceiveBuffer>,
     _task: Task<()>,
 }
 
@@ -76,6 +82,11 @@
     pub(super) fn send_queue(&self) -> &Rc<SendQueue> {
         &self.send_queue
     }
+
+    /// Returns the received bytes that have not been decoded yet.
+    pub(super) fn receive_buffer(&self) -> &ReceiveBuffer {
+        &self.receive_buffer
+    }
 }
 
 /// State of the task that serves the socket of one connection.
@@ -87,6 +98,8 @@
     dial_timeout: Duration,
     /// Queue of the frames to be written.
     send_queue: Rc<SendQueue>,
+    /// Received bytes that the event loop has not decoded yet.
+    receive_buffer: Rc<ReceiveBuffer>,
     /// Queue that the task reports events to.
     event_queue: Rc<EventQueue>,
     clock: Clock,
@@ -94,23 +107,20 @@
 
 impl SocketTask {
     /// Opens the connection, then writes and reads until the connection ends, and reports the end
-    /// as the last event.
+    /// with its reason as the last event.
     async fn run(self) {
         let dial = Async::<TcpStream>::connect(self.address);
-        let last_event = match with_timeout(self.dial_timeout, dial).await {
+        let reason = match with_timeout(self.dial_timeout, dial).await {
             Ok(stream) => {
                 self.send_queue.on_connected();
-                let write = async {
-                    let error = write_frames(&stream, &self.send_queue, self.clock).await;
-                    ConnectionEvent::Closed(error)
-                };
+                let write = write_frames(&stream, &self.send_queue, self.clock);
                 // Reading is polled first, so that nothing is written to a connection that the
                 // server has already closed.
-                self.read_frames(&stream).or(write).await
+                self.receive(&stream).or(write).await
             }
-            Err(error) => ConnectionEvent::Closed(error),
+            Err(error) => error,
         };
-        self.report(last_event);
+        self.report(ConnectionEvent::Closed(reason));
     }
 
     /// Reports an event of this connection.
@@ -121,39 +131,26 @@
         });
     }
 
-    /// Reads and reports frames until the connection ends. Returns the event that ended it, which
-    /// the caller reports.
-    async fn read_frames(&self, stream: &Async<TcpStream>) -> ConnectionEvent {
-        let mut input = Vec::new();
+    /// Receives bytes and reports them until the connection ends. Returns the reason of the end.
+    async fn receive(&self, stream: &Async<TcpStream>) -> io::Error {
         loop {
-            if let Err(invalid) = self.report_frames(&mut input) {
-                return ConnectionEvent::FrameInvalid(invalid);
-            }
-            if input.is_empty() {
-                // Frees the buffer's memory while no frame is being received.
-                input = Vec::new();
-            } else {
-                self.report(ConnectionEvent::PartialFrameReceived);
-            }
-            match read_some(stream, &mut input).await {
-                Ok(0) => return ConnectionEvent::Closed(io::ErrorKind::UnexpectedEof.into()),
-                Ok(_) => {}
-                Err(error) => return ConnectionEvent::Closed(error),
+            self.receive_buffer.wait_for_space().await;
+            match self.receive_buffer.read_from(stream).await {
+                Ok(ReadOutcome::Received) => self.report_received(),
+                Ok(ReadOutcome::NoSpace) => {}
+                Ok(ReadOutcome::EndOfStream) => return io::ErrorKind::UnexpectedEof.into(),
+                Err(error) => return error,
             }
             // Lets other tasks run: a server that sends continuously must not occupy the thread.
             yield_now().await;
         }
     }
 
-    /// Reports the complete frames at the start of `input` and removes them from it.
-    fn report_frames(&self, input: &mut Vec<u8>) -> Result<(), InvalidFrame> {
-        let mut decoded_len = 0;
-        while let Some(Decoded { message, frame_len }) = decode(&input[decoded_len..])? {
-            decoded_len += frame_len;
-            self.report(ConnectionEvent::FrameReceived(message));
+    /// Reports that bytes were received, unless the event loop has yet to handle an earlier report.
+    fn report_received(&self) {
+        if self.receive_buffer.mark_received() {
+            self.report(ConnectionEvent::DataReceived);
         }
-        input.drain(..decoded_len);
-        Ok(())
     }
 }
 
--- a/crates/broker/src/upstream/tests/deadlines.rs
+++ b/crates/broker/src/upstream/tests/deadlines.rs
@@ -47,14 +47,12 @@
     });
     pools.send(at(HOUR), attempts_of(1).parts(2).deadline(Timestamp::MAX));
     pools.write_frame(CONNECTION_0);
-    pools.on_connection_event(
-        at(HOUR),
-        CONNECTION_0,
-        ConnectionEvent::PartialFrameReceived,
-    );
+    let response = response("q1.1");
+    let (start, rest) = response.split_at(response.len() / 2);
+    pools.receive(at(HOUR), CONNECTION_0, start);
     assert_eq!(pools.next_deadline(), Some(Timestamp::MAX));
     pools.cancel(at(2 * HOUR), attempt(1, 0));
-    pools.receive_response(at(2 * HOUR), CONNECTION_0, "q1.1");
+    pools.receive(at(2 * HOUR), CONNECTION_0, rest);
     pools.close_expired_connections(at(1000 * HOUR));
     assert_eq!(pools.open_connections(), 1);
     assert_eq!(
--- a/crates/broker/src/upstream/tests/mod.rs
+++ b/crates/broker/src/upstream/tests/mod.rs
@@ -4,6 +4,7 @@
 mod cancellation;
 mod connections;
 mod deadlines;
+mod endless_responses;
 mod failures;
 mod responses;
 mod send_queue;
@@ -19,14 +20,15 @@
 use broker_types::server::{NodeId, Outcome};
 use broker_types::time::Timestamp;
 use futures_lite::future::yield_now;
-use server_protocol::broker::{PartResponse, ServerMessage};
+use server_protocol::PartStatus;
+use server_protocol::server::encode_part_response;
 use std::io::{ErrorKind, Write};
 use std::net::{TcpListener, TcpStream};
 use std::ops::{Deref, DerefMut};
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Waker};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const MICROSECOND: Duration = Duration::from_micros(1);
 const SECOND: Duration = Duration::from_secs(1);
@@ -101,7 +103,16 @@
 
     /// Passes the pools a response to a part, as received on a connection.
     fn receive_response(&mut self, now: Timestamp, connection: ServerConnectionId, wire_id: &str) {
-        let event = response(wire_id);
+        self.receive(now, connection, &response(wire_id));
+    }
+
+    /// Passes the pools bytes, as received on a connection. Does nothing if the connection is
+    /// closed.
+    fn receive(&mut self, now: Timestamp, connection: ServerConnectionId, bytes: &[u8]) {
+        if let Some(open) = self.pools.connections().get(connection) {
+            open.receive_buffer().append(bytes);
+        }
+        let event = ConnectionEvent::DataReceived;
         self.pools.on_connection_event(now, connection, event);
     }
 
@@ -155,6 +166,26 @@
         async_io::block_on(self.executor.run(written));
     }
 
+    /// Runs the socket tasks for some time, during which the event loop handles no event.
+    fn run_tasks_for(&self, time: Duration) {
+        let until = Instant::now() + time;
+        let run = async {
+            while Instant::now() < until {
+                yield_now().await;
+            }
+        };
+        async_io::block_on(self.executor.run(run));
+    }
+
+    /// Passes the queued events of connections to the pools.
+    fn handle_events(&mut self, now: Timestamp) {
+        for event in self.event_queue.drain() {
+            if let Event::ServerConnection { connection, event } = event {
+                self.pools.on_connection_event(now, connection, event);
+            }
+        }
+    }
+
     /// Runs the socket tasks until any of them has reported events, and returns the events.
     fn run_until_events(&self) -> Vec<Event> {
         async_io::block_on(self.executor.run(async {
@@ -175,6 +206,7 @@
         max_connections: 10,
         max_parts_per_call: 2,
         max_parts_per_connection: 4,
+        max_receive_bytes: 1 << 20,
         dial_timeout: SECOND / 4,
         idle_timeout: 15 * SECOND,
     }
@@ -271,14 +303,9 @@
     }
 }
 
-/// Creates the event that the response to a served part was received.
-fn response(wire_id: &str) -> ConnectionEvent {
-    ConnectionEvent::FrameReceived(ServerMessage::PartResponse(PartResponse {
-        id: wire_id.to_owned(),
-        outcome: Outcome::Served,
-        requests_in_flight: Some(1.0),
-        value: "v".to_owned(),
-    }))
+/// Encodes the response to a served part.
+fn response(wire_id: &str) -> Vec<u8> {
+    encode_part_response(wire_id, PartStatus::Succeeded, 1, "v")
 }
 
 /// Returns whether an event reports the end of the connection `id`.
--- a/crates/broker/src/upstream/tests/responses.rs
+++ b/crates/broker/src/upstream/tests/responses.rs
@@ -1,7 +1,11 @@
 //! Invalid, surplus, late and incomplete responses.
 
 use super::*;
-use server_protocol::InvalidFrame;
+
+/// Bytes of a frame whose kind is unknown.
+const UNKNOWN_KIND: &[u8] = b"\0\0\0\x02xx";
+/// The first bytes of a frame, which are valid.
+const PARTIAL_FRAME: &[u8] = b"\0\0\0\x14q";
 
 /// If a server responds to a part that is not in flight, the response to one of the parts in flight
 /// may never arrive, and the attempt at that part must not wait until its deadline. However many
@@ -9,17 +13,14 @@
 /// their queries.
 #[test]
 fn invalid_response_fails_one_attempt_and_closes_its_connection() {
-    for event in [
-        response("q7.0"),
-        ConnectionEvent::FrameInvalid(InvalidFrame::UnknownKind),
-    ] {
+    for bytes in [response("q7.0"), UNKNOWN_KIND.to_vec()] {
         let mut pools = TestPools::new(PoolLimits {
             max_parts_per_call: 4,
             ..limits()
         });
         pools.send(START, attempts_of(1).parts(3));
         pools.write_frame(CONNECTION_0);
-        pools.on_connection_event(at_micros(10), CONNECTION_0, event);
+        pools.receive(at_micros(10), CONNECTION_0, &bytes);
         assert_eq!(
             pools.take_outcomes(at_micros(20)),
             [Outcome::Error, Outcome::Cancelled, Outcome::Cancelled]
@@ -34,13 +35,13 @@
 fn surplus_data_after_a_valid_response_closes_the_connection_and_fails_no_attempt() {
     for surplus in [
         response("q1.0"),
-        ConnectionEvent::PartialFrameReceived,
-        ConnectionEvent::FrameInvalid(InvalidFrame::UnknownKind),
+        PARTIAL_FRAME.to_vec(),
+        UNKNOWN_KIND.to_vec(),
     ] {
         let mut pools = TestPools::new(limits());
         pools.send(START, attempts_of(1));
         pools.receive_response(at_micros(10), CONNECTION_0, "q1.0");
-        pools.on_connection_event(at_micros(10), CONNECTION_0, surplus);
+        pools.receive(at_micros(10), CONNECTION_0, &surplus);
         assert_eq!(pools.take_outcomes(at_micros(20)), [Outcome::Served]);
         assert_eq!(pools.open_connections(), 0);
     }
@@ -91,8 +92,7 @@
     let mut pools = TestPools::new(limits());
     pools.send(START, attempts_of(1));
     pools.write_frame(CONNECTION_0);
-    let event = ConnectionEvent::PartialFrameReceived;
-    pools.on_connection_event(at_micros(10), CONNECTION_0, event);
+    pools.receive(at_micros(10), CONNECTION_0, PARTIAL_FRAME);
     assert_eq!(pools.next_deadline(), Some(at_micros(10) + max_stall));
     pools.close_expired_connections(at_micros(9) + max_stall);
     assert_eq!(pools.open_connections(), 1);
--- a/crates/platform-config/src/resources.rs
+++ b/crates/platform-config/src/resources.rs
@@ -23,6 +23,10 @@
 const CLIENT_MEMORY_NUMERATOR: u64 = 3;
 /// Denominator of the fraction of the memory limit that client connections may use.
 const CLIENT_MEMORY_DENOMINATOR: u64 = 5;
+/// The memory limit divided by this number is the memory for data received from data servers.
+const RECEIVE_MEMORY_DIVISOR: u64 = 8;
+/// Memory for data received from data servers if the configuration has no memory limit, in bytes.
+const DEFAULT_RECEIVE_BYTES: u64 = 16 * MEBIBYTE;
 /// Maximum memory of an HTTP/1.1 client connection while a request arrives on it, in bytes.
 const HTTP1_CONNECTION_BYTES: u64 = 128 * 1024;
 /// Minimum of the memory limit, in mebibytes. With this limit, the fraction for client connections
@@ -55,6 +59,8 @@
     connection_descriptors: u64,
     /// Memory for client connections, in bytes; `None` if memory is not limited.
     client_memory: Option<u64>,
+    /// Memory for data received from data servers, in bytes.
+    receive_memory: u64,
 }
 
 impl ResourceLimits {
@@ -67,6 +73,7 @@
         Ok(ResourceLimits {
             connection_descriptors: connection_descriptors(limits.descriptors)?,
             client_memory: client_memory(limits.memory_mebibytes)?,
+            receive_memory: receive_memory(limits.memory_mebibytes),
         })
     }
 
@@ -93,6 +100,7 @@
             max_connections: (self.connection_descriptors / 3) as usize,
             max_parts_per_call,
             max_parts_per_connection: max_parts_per_connection.max(max_parts_per_call),
+            max_receive_bytes: usize::try_from(self.receive_memory).unwrap_or(usize::MAX),
             dial_timeout: millis(site.dial_timeout.unwrap_or(DEFAULT_DIAL_TIMEOUT_MS)),
             idle_timeout: millis(site.idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT_MS)),
         }
@@ -112,6 +120,14 @@
     Ok(descriptors.min(MAX_DESCRIPTORS) - RESERVED_DESCRIPTORS)
 }
 
+/// Returns the memory for data received from data servers in bytes, given the platform's limit in
+/// mebibytes.
+fn receive_memory(limit: Option<u64>) -> u64 {
+    limit.map_or(DEFAULT_RECEIVE_BYTES, |mebibytes| {
+        mebibytes.saturating_mul(MEBIBYTE) / RECEIVE_MEMORY_DIVISOR
+    })
+}
+
 /// Returns the memory for client connections in bytes, given the platform's limit in mebibytes.
 ///
 /// The limit on descriptors does not suffice: on a machine with little memory, as many connections
--- a/crates/server-protocol/src/broker.rs
+++ b/crates/server-protocol/src/broker.rs
@@ -5,7 +5,7 @@
     IDEMPOTENCY_KEY_OPTION, REQUESTS_IN_FLIGHT_ENTRY, REQUESTS_IN_FLIGHT_SETTINGS_ENTRY,
     WAIT_OPTION,
 };
-use crate::frame::{self, FrameKind, PartialFrame, split_line, utf8};
+use crate::frame::{self, FrameKind, LENGTH_SIZE, PartialFrame, split_line, utf8};
 use crate::{Decoded, InvalidFrame, PartStatus};
 use fanout_policy::api::Outcome;
 use std::fmt::{self, Write};
@@ -14,6 +14,8 @@
 /// a response line of the maximum length and a value of 64 KiB, the maximum length of the body of
 /// an HTTP request to the broker.
 const MAX_BODY_LEN: usize = 66 * 1024;
+/// Maximum length of a frame from a data server, in bytes.
+pub const MAX_FRAME_LEN: usize = LENGTH_SIZE + MAX_BODY_LEN;
 /// Maximum length of the first line of a response to a part, in bytes. The line consists of the id
 /// of the part and of short fields. The id contains the id that the client chose for its request,
 /// whose length the broker limits.
--- a/crates/server-protocol/src/frame.rs
+++ b/crates/server-protocol/src/frame.rs
@@ -3,7 +3,7 @@
 use crate::InvalidFrame;
 
 /// Size of the length field, which each frame starts with, in bytes.
-const LENGTH_SIZE: usize = size_of::<u32>();
+pub(crate) const LENGTH_SIZE: usize = size_of::<u32>();
 /// Size of the kind, in bytes. The length includes the kind and the payload.
 const KIND_SIZE: usize = 1;
 
