Do not serve a value that may lack its end because its frame has a wrong length

Cause: a response counted as whole once as many bytes had arrived as its length says; what followed failed only the other parts on the connection. Ruled out: a value cut off on the way to the client, and values of another query.

Change: a frame starts with a NUL byte and a value is text. A value with a NUL byte is invalid (length too great). Text behind a response may be the rest of its value (length too small), so its attempt fails; if the text comes later, the query fails unless it was answered. A read goes on after a full chunk, so that a frame which ends with one is not looked at alone. Noise that is no text changes nothing.

--- a/crates/broker/src/event_loop/query_processor.rs
+++ b/crates/broker/src/event_loop/query_processor.rs
@@ -98,6 +98,23 @@
         event: ConnectionEvent,
     ) {
         self.servers.on_connection_event(now, connection, event);
+        for attempt in self.servers.take_revoked() {
+            self.fail_query_with_revoked_value(now, attempt);
+        }
+    }
+
+    /// Fails the query of an attempt whose value can no longer be relied on. Does nothing if the
+    /// query has ended before. The query cannot be rejected, because its parts may have run.
+    fn fail_query_with_revoked_value(&mut self, now: Timestamp, attempt: AttemptId) {
+        warn!(name: "part_value_revoked", query = attempt.query.0, part = attempt.part.0);
+        self.policy.abandon(attempt.query);
+        self.finish_query(
+            now,
+            FinishedQuery {
+                query: attempt.query,
+                outcome: QueryOutcome::Failed,
+            },
+        );
     }
 
     /// Ends a query whose client has disconnected. Does nothing if the query has ended before.
--- a/crates/broker/src/upstream/connection.rs
+++ b/crates/broker/src/upstream/connection.rs
@@ -7,7 +7,7 @@
 use super::attempt::{AttemptOutcome, OutgoingAttempt, OutgoingPart};
 use super::cancelled_parts::CancelledParts;
 use super::connection_event::{FrameEffect, ProtocolViolation};
-use super::receive_buffer::ReceiveBuffer;
+use super::receive_buffer::{ReceiveBuffer, ReceivedMessage};
 use super::receive_progress::ReceiveProgress;
 use super::send_queue::{OutgoingFrame, SendQueue};
 use super::socket::SocketHandle;
@@ -71,6 +71,9 @@
     /// Attempts in flight on this connection, by the id of their part in its frames.
     in_flight: BTreeMap<String, AttemptId>,
     cancelled: CancelledParts,
+    /// Attempt that was served by the last received frame. Its value is confirmed when the next
+    /// frame starts directly behind that frame.
+    unconfirmed: Option<AttemptId>,
     progress: ReceiveProgress,
     /// Time at which an attempt was last assigned to this connection or last ended on it.
     last_used: Timestamp,
@@ -92,6 +95,7 @@
             socket,
             in_flight: BTreeMap::new(),
             cancelled: CancelledParts::default(),
+            unconfirmed: None,
             progress: ReceiveProgress::new(now),
             last_used: now,
             is_draining: false,
@@ -239,13 +243,26 @@
     /// Handles the next received frame and returns what the caller must do.
     pub(super) fn next_effect(&mut self, now: Timestamp) -> FrameEffect {
         match self.receive_buffer().next_message() {
-            Ok(Some(ServerMessage::PartResponse(response))) => self.on_response(response),
-            Ok(Some(ServerMessage::FrameRejected(reason))) => {
+            Ok(Some(received)) => self.on_message(received),
+            Ok(None) => self.on_all_frames_handled(now),
+            Err(invalid) => FrameEffect::ProtocolViolated {
+                violation: invalid.into(),
+                revoked: self.revoke_unconfirmed(),
+            },
+        }
+    }
+
+    /// Handles the message of a frame.
+    fn on_message(&mut self, received: ReceivedMessage) -> FrameEffect {
+        self.unconfirmed = None;
+        match received.message {
+            ServerMessage::PartResponse(response) => {
+                self.on_response(response, received.may_be_incomplete)
+            }
+            ServerMessage::FrameRejected(reason) => {
                 warn!(name: "server_connection_rejected", server = %self.server.0, reason);
                 FrameEffect::ConnectionLost
             }
-            Ok(None) => self.on_all_frames_handled(now),
-            Err(invalid) => FrameEffect::ProtocolViolated(invalid.into()),
         }
     }
 
@@ -254,16 +271,32 @@
     /// The response to a cancelled part may still arrive and is ignored. A response to any other
     /// part violates the protocol. The server may have sent it in place of the response to one of
     /// the parts in flight, which would then never arrive.
-    fn on_response(&mut self, response: PartResponse) -> FrameEffect {
+    ///
+    /// A response whose value may be incomplete is not used. The server may have sent a complete one
+    /// and text behind it that does not belong to it, but the broker cannot tell the difference.
+    fn on_response(&mut self, response: PartResponse, may_be_incomplete: bool) -> FrameEffect {
         if let Some(&attempt) = self.in_flight.get(&response.id) {
+            if may_be_incomplete {
+                return ProtocolViolation::IncompleteValue.into();
+            }
+            self.unconfirmed = (response.outcome == Outcome::Served).then_some(attempt);
             FrameEffect::EndAttempt { attempt, response }
         } else if self.cancelled.remove(&response.id) {
             FrameEffect::Continue
         } else {
-            FrameEffect::ProtocolViolated(ProtocolViolation::UnexpectedResponse)
+            ProtocolViolation::UnexpectedResponse.into()
         }
     }
 
+    /// Returns the attempt that the last frame has served if the bytes behind that frame, which have
+    /// arrived later, may be the rest of its value.
+    fn revoke_unconfirmed(&mut self) -> Option<AttemptId> {
+        let attempt = self.unconfirmed.take()?;
+        self.receive_buffer()
+            .may_continue_value()
+            .then_some(attempt)
+    }
+
     /// Determines the effect of the bytes after the last complete frame. The start of another frame
     /// violates the protocol if no response is outstanding.
     fn on_all_frames_handled(&mut self, now: Timestamp) -> FrameEffect {
@@ -271,7 +304,7 @@
             return FrameEffect::AwaitData;
         }
         if self.is_idle() && self.cancelled.is_empty() {
-            return FrameEffect::ProtocolViolated(ProtocolViolation::UnsolicitedData);
+            return ProtocolViolation::UnsolicitedData.into();
         }
         self.progress.on_partial_frame(now);
         FrameEffect::AwaitData
--- a/crates/broker/src/upstream/connection_event.rs
+++ b/crates/broker/src/upstream/connection_event.rs
@@ -20,7 +20,22 @@
     ConnectionLost,
     /// Close the connection, because the server has violated the protocol, and end all its
     /// attempts.
-    ProtocolViolated(ProtocolViolation),
+    ProtocolViolated {
+        violation: ProtocolViolation,
+        /// Attempt that was served by the response directly before the violation, if its value can
+        /// no longer be relied on.
+        revoked: Option<AttemptId>,
+    },
+}
+
+impl From<ProtocolViolation> for FrameEffect {
+    /// Returns the effect of a violation that says nothing about earlier responses.
+    fn from(violation: ProtocolViolation) -> Self {
+        FrameEffect::ProtocolViolated {
+            violation,
+            revoked: None,
+        }
+    }
 }
 
 /// Violation of the protocol by a server. Its connection is unusable afterwards.
@@ -29,6 +44,10 @@
     /// A response names a part that is neither in flight nor cancelled.
     #[error("the response names a part that is not in flight")]
     UnexpectedResponse,
+    /// Text follows a response that may be the rest of its value, because the length of its frame
+    /// was too small.
+    #[error("what follows a response may be the rest of its value")]
+    IncompleteValue,
     /// Data arrived although no response is outstanding.
     #[error("data arrived although no response is expected")]
     UnsolicitedData,
--- a/crates/broker/src/upstream/pools.rs
+++ b/crates/broker/src/upstream/pools.rs
@@ -27,6 +27,8 @@
     attempts: AttemptTracker,
     /// Maximum number of parts in one call; at least 1.
     max_parts_per_call: usize,
+    /// Served attempts whose values can no longer be relied on, and that have not been taken yet.
+    revoked: Vec<AttemptId>,
 }
 
 impl ServerPools {
@@ -43,6 +45,7 @@
             connections: ConnectionPool::new(limits, connector),
             attempts: AttemptTracker::default(),
             max_parts_per_call: limits.max_parts_per_call.max(1),
+            revoked: Vec::new(),
         }
     }
 
@@ -136,6 +139,13 @@
         self.attempts.take_ended()
     }
 
+    /// Removes and returns the attempts that ended as served and whose values can no longer be relied
+    /// on, because their servers have violated the protocol directly behind them. A query that has
+    /// not been answered yet must not be answered with such a value.
+    pub fn take_revoked(&mut self) -> Vec<AttemptId> {
+        std::mem::take(&mut self.revoked)
+    }
+
     /// Returns whether there are ended attempts that have not been taken yet.
     #[must_use]
     pub fn has_ended_attempts(&self) -> bool {
@@ -175,7 +185,8 @@
                     self.end_attempt(now, attempt, response);
                 }
                 FrameEffect::ConnectionLost => self.on_connection_lost(now, id),
-                FrameEffect::ProtocolViolated(violation) => {
+                FrameEffect::ProtocolViolated { violation, revoked } => {
+                    self.revoked.extend(revoked);
                     self.fail_connection(now, id, violation);
                 }
             }
--- a/crates/broker/src/upstream/receive_buffer.rs
+++ b/crates/broker/src/upstream/receive_buffer.rs
@@ -9,11 +9,11 @@
 use async_io::Async;
 use event_listener::Event;
 use futures_lite::AsyncRead;
-use server_protocol::broker::{MAX_FRAME_LEN, ServerMessage, decode};
+use server_protocol::broker::{MAX_FRAME_LEN, ServerMessage, decode, may_continue_value};
 use server_protocol::{Decoded, InvalidFrame};
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
-use std::io;
+use std::io::{self, Read};
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -56,6 +56,14 @@
     }
 }
 
+/// A message from the server.
+pub(super) struct ReceivedMessage {
+    pub(super) message: ServerMessage,
+    /// Whether the bytes received behind the frame may be the rest of its value. The value is then
+    /// incomplete, because the length of the frame was too small.
+    pub(super) may_be_incomplete: bool,
+}
+
 /// Result of [`ReceiveBuffer::read_from`].
 pub(super) enum ReadOutcome {
     /// Bytes were received.
@@ -110,12 +118,13 @@
         }
     }
 
-    /// Waits until the socket is readable and appends the received bytes, up to one chunk. Reads
-    /// nothing if there is no space.
+    /// Waits until the socket is readable and appends the bytes that it holds, as far as there is
+    /// space. It does not stop after one chunk, because what follows a frame shows whether its
+    /// value is complete.
     ///
     /// # Errors
     ///
-    /// Returns the error of the read.
+    /// Returns the error of the first read.
     pub(super) async fn read_from(&self, mut stream: &Async<TcpStream>) -> io::Result<ReadOutcome> {
         poll_fn(|cx| {
             // Checked immediately before each read, because other connections use the same budget.
@@ -123,11 +132,16 @@
                 return Poll::Ready(Ok(ReadOutcome::NoSpace));
             }
             let mut chunk = [0; READ_CHUNK_BYTES];
-            let received = ready!(Pin::new(&mut stream).poll_read(cx, &mut chunk))?;
+            let mut received = ready!(Pin::new(&mut stream).poll_read(cx, &mut chunk))?;
             if received == 0 {
                 return Poll::Ready(Ok(ReadOutcome::EndOfStream));
             }
             self.append(&chunk[..received]);
+            while received == READ_CHUNK_BYTES && self.has_space() {
+                // The next call reports an error or the end of the stream.
+                received = stream.get_ref().read(&mut chunk).unwrap_or(0);
+                self.append(&chunk[..received]);
+            }
             Poll::Ready(Ok(ReadOutcome::Received))
         })
         .await
@@ -172,7 +186,7 @@
     /// # Errors
     ///
     /// The reason why the first frame is invalid.
-    pub(super) fn next_message(&self) -> Result<Option<ServerMessage>, InvalidFrame> {
+    pub(super) fn next_message(&self) -> Result<Option<ReceivedMessage>, InvalidFrame> {
         let mut received = self.received.borrow_mut();
         let Some(Decoded { message, frame_len }) = decode(received.undecoded())? else {
             self.budget.release(received.decoded);
@@ -180,7 +194,16 @@
             return Ok(None);
         };
         received.decoded += frame_len;
-        Ok(Some(message))
+        let may_be_incomplete = may_continue_value(received.undecoded());
+        Ok(Some(ReceivedMessage {
+            message,
+            may_be_incomplete,
+        }))
+    }
+
+    /// Returns whether the undecoded bytes may be the rest of the last value.
+    pub(super) fn may_continue_value(&self) -> bool {
+        may_continue_value(self.received.borrow().undecoded())
     }
 
     /// Returns the number of bytes that are buffered, including decoded ones that still use memory.
--- a/crates/broker/src/upstream/tests/responses.rs
+++ b/crates/broker/src/upstream/tests/responses.rs
@@ -100,3 +100,60 @@
     assert_eq!(pools.take_outcomes(at(SECOND / 2)), [Outcome::Error]);
     assert_eq!(pools.open_connections(), 0);
 }
+
+/// Guards against an incomplete value: the broker served a value whose frame had a length that was
+/// too small, because it looked at the frame before it looked at what follows. The bytes behind the
+/// frame may be the rest of the value, whether or not another response is outstanding.
+#[test]
+fn value_is_not_served_if_text_follows_it() {
+    let texts = ["6", "b6a8", "\u{e9}", "rest\0\0\0\x04q"];
+    for (parts, text) in [1, 2].into_iter().flat_map(|n| texts.map(|text| (n, text))) {
+        let mut pools = TestPools::new(limits());
+        pools.send(START, attempts_of(1).parts(parts));
+        pools.write_frame(CONNECTION_0);
+        let bytes = [response("q1.0"), text.as_bytes().to_vec()].concat();
+        pools.receive(at_micros(10), CONNECTION_0, &bytes);
+        let outcomes = pools.take_outcomes(at_micros(20));
+        assert_eq!(outcomes.first(), Some(&Outcome::Error), "{text:?}");
+        assert!(!outcomes.contains(&Outcome::Served), "{text:?}");
+        assert_eq!(pools.open_connections(), 0);
+    }
+}
+
+/// A data server may send a second response or noise behind a valid response. Unless the noise is
+/// text, it cannot be the rest of the value, so the value is complete.
+#[test]
+fn value_is_served_if_a_frame_or_noise_that_is_no_text_follows_it() {
+    for surplus in [response("q1.0"), UNKNOWN_KIND.to_vec(), vec![0xff, 0xfe]] {
+        let mut pools = TestPools::new(limits());
+        pools.send(START, attempts_of(1));
+        pools.write_frame(CONNECTION_0);
+        let bytes = [response("q1.0"), surplus].concat();
+        pools.receive(at_micros(10), CONNECTION_0, &bytes);
+        assert_eq!(pools.take_outcomes(at_micros(20)), [Outcome::Served]);
+        assert!(pools.take_revoked().is_empty());
+        assert_eq!(pools.open_connections(), 0);
+    }
+}
+
+/// Guards against an incomplete value whose rest arrives later: the value must be revoked, unless
+/// another frame started directly behind its own.
+#[test]
+fn value_is_revoked_if_text_follows_it_later() {
+    for (is_confirmed, revoked) in [(false, vec![attempt(1, 0)]), (true, vec![])] {
+        let mut pools = TestPools::new(PoolLimits {
+            max_parts_per_call: 4,
+            ..limits()
+        });
+        pools.send(START, attempts_of(1).parts(3));
+        pools.write_frame(CONNECTION_0);
+        pools.receive_response(at_micros(10), CONNECTION_0, "q1.0");
+        if is_confirmed {
+            let rejected = encode_part_response("q1.1", PartStatus::Rejected, 1, "");
+            pools.receive(at_micros(10), CONNECTION_0, &rejected);
+        }
+        pools.receive(at_micros(20), CONNECTION_0, b"b6a8");
+        assert_eq!(pools.take_revoked(), revoked);
+        assert_eq!(pools.open_connections(), 0);
+    }
+}
--- a/crates/query-broker/tests/scenarios/data_servers.rs
+++ b/crates/query-broker/tests/scenarios/data_servers.rs
@@ -77,15 +77,20 @@
 
 /// Returns the frame with the outcome of an attempt at a part and a load report.
 pub(crate) fn outcome_frame(part: &str, outcome: &PartOutcome) -> Vec<u8> {
-    let (outcome, value) = match outcome {
-        PartOutcome::Value(value) => ("good", value.as_str()),
-        PartOutcome::Error => ("bad", ""),
-        PartOutcome::Overloaded => ("later", ""),
+    let (outcome, value, length_error) = match outcome {
+        PartOutcome::Value(value) => ("good", value.as_str(), 0),
+        PartOutcome::ValueWithWrongLength {
+            value,
+            length_error,
+        } => ("good", value.as_str(), *length_error),
+        PartOutcome::Error => ("bad", "", 0),
+        PartOutcome::Overloaded => ("later", "", 0),
     };
     // After the outcome come a score of 7 and the load report. The broker uses only the entry `rif`,
     // the number of requests in flight at the server.
     let text = format!("q{part} {outcome} 7 rif=1,rate=2\n{value}");
-    let length = u32::try_from(text.len()).expect("a script's value is short");
+    let length = text.len() as i64 + length_error;
+    let length = u32::try_from(length).expect("a script's value is short");
     let mut bytes = length.to_be_bytes().to_vec();
     bytes.extend(text.into_bytes());
     bytes
--- a/crates/query-broker/tests/scenarios/main.rs
+++ b/crates/query-broker/tests/scenarios/main.rs
@@ -26,6 +26,9 @@
 //! send PEER raw TEXT                sends TEXT, with \r and \n replaced; `*N` at the end stands for N times the
 //!                                   character before it
 //! send sN value PART VALUE          ends an attempt at a part with its value
+//! send sN value PART VALUE length-off-by N
+//!                                   the same in a frame whose length is N bytes too great, or too small if N is
+//!                                   negative
 //! send sN error PART                ends an attempt at a part with an error
 //! send sN overloaded PART           rejects an attempt at a part because the server is overloaded
 //! send d1|d2 full-list|changes REVISION [sN=active|draining|removed ...]
--- a/crates/query-broker/tests/scenarios/parser/step.rs
+++ b/crates/query-broker/tests/scenarios/parser/step.rs
@@ -55,6 +55,13 @@
         [server, "value", part, value] => {
             part_outcome(server, part, PartOutcome::Value((*value).to_owned()))
         }
+        [server, "value", part, value, "length-off-by", bytes] => {
+            let outcome = PartOutcome::ValueWithWrongLength {
+                value: (*value).to_owned(),
+                length_error: number(bytes)?,
+            };
+            part_outcome(server, part, outcome)
+        }
         [server, "error", part] => part_outcome(server, part, PartOutcome::Error),
         [server, "overloaded", part] => part_outcome(server, part, PartOutcome::Overloaded),
         [
--- a/crates/query-broker/tests/scenarios/script.rs
+++ b/crates/query-broker/tests/scenarios/script.rs
@@ -182,6 +182,9 @@
 pub(crate) enum PartOutcome {
     /// The server sends the part's value.
     Value(String),
+    /// The server sends the part's value in a frame whose length is wrong: `length_error` bytes more
+    /// than the frame has, or fewer if it is negative.
+    ValueWithWrongLength { value: String, length_error: i64 },
     /// The server reports that the attempt failed.
     Error,
     /// The server reports that it is overloaded and has not begun the attempt.
--- a/crates/server-protocol/src/broker.rs
+++ b/crates/server-protocol/src/broker.rs
@@ -21,6 +21,9 @@
 /// whose length the broker limits.
 pub const MAX_RESPONSE_LINE_LEN: usize = 1024;
 
+/// The byte that no value contains.
+const NUL: u8 = 0;
+
 /// One part of a call that is to be encoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PartRequest<'a> {
@@ -157,10 +160,34 @@
         id: utf8(id)?.to_owned(),
         outcome: status.into(),
         requests_in_flight: parse_requests_in_flight(load_report),
-        value: utf8(value)?.to_owned(),
+        value: parse_value(value)?.to_owned(),
     })
 }
 
+/// Returns the value of a response.
+fn parse_value(value: &[u8]) -> Result<&str, InvalidFrame> {
+    if value.contains(&NUL) {
+        return Err(InvalidFrame::NulInValue);
+    }
+    utf8(value)
+}
+
+/// Returns whether `input`, the bytes that were received behind a response, may start with the rest
+/// of its value, because the length of its frame was too small.
+///
+/// A frame starts with a NUL byte, which no value contains. The rest of a value is therefore the
+/// text up to the first NUL byte. Its last character may be incomplete if nothing follows it.
+#[must_use]
+pub fn may_continue_value(input: &[u8]) -> bool {
+    let text_len = input.iter().position(|byte| *byte == NUL);
+    let text = &input[..text_len.unwrap_or(input.len())];
+    let is_text = match std::str::from_utf8(text) {
+        Ok(_) => true,
+        Err(error) => error.error_len().is_none(),
+    };
+    !text.is_empty() && is_text
+}
+
 /// Returns the number of requests in flight in a load report, or `None` if the report does not
 /// contain a valid one. The entry with the number may have either of two names; the first entry
 /// with one of them counts. A malformed load report does not make its frame invalid.
--- a/crates/server-protocol/src/error.rs
+++ b/crates/server-protocol/src/error.rs
@@ -16,6 +16,11 @@
     /// A part of the frame that must be text is not UTF-8.
     #[error("it is not UTF-8")]
     NotUtf8,
+    /// The value of a response contains a NUL byte. Values are text without this byte, but each
+    /// frame starts with it: a response with a length that is too great takes in the start of the
+    /// next one.
+    #[error("its value contains a NUL byte")]
+    NulInValue,
     /// The first line of a response is longer than [`MAX_RESPONSE_LINE_LEN`], or its frame contains
     /// no line feed.
     #[error("its first line is longer than {MAX_RESPONSE_LINE_LEN} bytes or has no line feed")]
--- a/crates/server-protocol/src/frame.rs
+++ b/crates/server-protocol/src/frame.rs
@@ -71,16 +71,20 @@
     ///
     /// # Errors
     ///
-    /// [`InvalidFrame::LengthOutOfBounds`] if the length is zero or greater than `max_body_len`.
+    /// [`InvalidFrame::LengthOutOfBounds`] if the length is zero or greater than `max_body_len`, or
+    /// if the bytes of it that have arrived already make it greater.
     pub(crate) fn parse(
         input: &'a [u8],
         max_body_len: usize,
     ) -> Result<Option<Self>, InvalidFrame> {
+        if min_body_len(input) > max_body_len {
+            return Err(InvalidFrame::LengthOutOfBounds);
+        }
         let Some((length, input)) = input.split_first_chunk::<LENGTH_SIZE>() else {
             return Ok(None);
         };
         let body_len = u32::from_be_bytes(*length) as usize;
-        if body_len == 0 || body_len > max_body_len {
+        if body_len == 0 {
             return Err(InvalidFrame::LengthOutOfBounds);
         }
         Ok(Some(PartialFrame { body_len, input }))
@@ -112,6 +116,15 @@
     }
 }
 
+/// Returns the smallest length that a frame can have whose first bytes are `input`. This is its
+/// length if the length has arrived completely.
+fn min_body_len(input: &[u8]) -> usize {
+    let arrived = input.len().min(LENGTH_SIZE);
+    let mut length = [0; LENGTH_SIZE];
+    length[..arrived].copy_from_slice(&input[..arrived]);
+    u32::from_be_bytes(length) as usize
+}
+
 /// Returns bytes of a frame as text.
 ///
 /// # Errors
--- a/crates/server-protocol/tests/broker_side.rs
+++ b/crates/server-protocol/tests/broker_side.rs
@@ -7,7 +7,7 @@
 use server_protocol::Decoded;
 use server_protocol::broker::{
     MAX_RESPONSE_LINE_LEN, PartRequest, PartResponse, ServerMessage, decode, encode_call,
-    encode_cancel,
+    encode_cancel, may_continue_value,
 };
 
 /// Decodes a frame. Panics unless it is a complete and valid response to a part.
@@ -73,6 +73,9 @@
     for input in [
         // A length above the maximum.
         &[179, 0, 0, 0][..],
+        // The start of a length above the maximum.
+        &[179],
+        &[0, 2],
         // An unknown kind.
         &[0, 0, 0, 72, 1],
         // A response to a probe. Brokers send no probes.
@@ -108,6 +111,8 @@
         b"\xff good 1 -\n",
         // A value that is not UTF-8.
         b"9b.3 good 1 -\n\xff",
+        // A value that ends with the start of another frame.
+        b"9b.3 good 1 -\n5be2\0\0\0\x10",
     ] {
         assert!(
             decode(&frame(b'q', payload)).is_err(),
@@ -126,3 +131,14 @@
         );
     }
 }
+
+/// If a frame is too short, the rest of its value follows it, and then possibly another frame.
+#[test]
+fn rest_of_a_value_is_text_up_to_the_next_frame() {
+    for rest in [&b"5be2"[..], b"5", b"5be2\0\0\0\x10q", b"\xc3"] {
+        assert!(may_continue_value(rest), "{rest:?} may belong to a value");
+    }
+    for other in [&b""[..], b"\0\0\0\x10q", b"\0", b"\xff\xfe"] {
+        assert!(!may_continue_value(other), "{other:?} belongs to no value");
+    }
+}
