Start the time of a request when it arrives and not when it is read

On a pipelined connection, answers came 1.6 s late.

Cause: a client's time began with the read, and with each further read anew for all that was buffered. Ruled out: a held-up event loop (the same thread accepted a connection every 5 ms) and a wait inside the broker (d would be smaller).

Change: `listeners/arrival.rs` determines the earliest arrival of bytes and of connections in the backlog; the query carries it to its admission. A query whose time is over is rejected at once. HTTP/2 and the event queue count the same way.

--- a/crates/broker/src/clock.rs
+++ b/crates/broker/src/clock.rs
@@ -34,7 +34,7 @@
     /// Returns the current time, relative to the clock's origin.
     #[must_use]
     pub fn now(&self) -> Timestamp {
-        Timestamp::from_micros(whole_micros(self.origin.elapsed()))
+        self.timestamp(Instant::now())
     }
 
     /// Converts a time on this clock to an [`Instant`], the type that timers take.
@@ -43,6 +43,14 @@
         self.origin + at.saturating_since(Timestamp::ORIGIN)
     }
 
+    /// Converts an [`Instant`] to a time on this clock. An instant before the clock's origin becomes
+    /// the origin.
+    #[must_use]
+    pub fn timestamp(&self, instant: Instant) -> Timestamp {
+        let since_origin = instant.saturating_duration_since(self.origin);
+        Timestamp::from_micros(whole_micros(since_origin))
+    }
+
     /// Converts a Unix time in milliseconds to a time on this clock. The result is negative if the
     /// Unix time lies before the clock's origin.
     #[must_use]
--- a/crates/broker/src/event_queue.rs
+++ b/crates/broker/src/event_queue.rs
@@ -11,6 +11,7 @@
 use async_channel::{Receiver, Sender};
 use broker_types::query::{FinalResponse, QueryId, QueryRequest};
 use broker_types::server::EndpointList;
+use broker_types::time::Timestamp;
 use std::cell::{Cell, RefCell};
 use std::io;
 
@@ -46,6 +47,8 @@
     pub connection: ConnectionId,
     /// The client's request.
     pub request: QueryRequest,
+    /// When the last byte of the request arrived. The client's timeout starts at this time.
+    pub arrived_at: Timestamp,
     /// Channel for the final response. Exactly one response may be sent.
     pub reply: Sender<FinalResponse>,
 }
@@ -101,9 +104,14 @@
         self.wake_up.notify_one();
     }
 
-    /// Submits a query. The returned handle receives the one final response. Dropping the handle
+    /// Submits a query whose request arrived at `arrived_at`. The returned handle receives the one final response. Dropping the handle
     /// before the response has been sent abandons the query.
-    pub fn submit_query(&self, connection: ConnectionId, request: QueryRequest) -> QueryHandle<'_> {
+    pub fn submit_query(
+        &self,
+        connection: ConnectionId,
+        request: QueryRequest,
+        arrived_at: Timestamp,
+    ) -> QueryHandle<'_> {
         let id = self.next_query.get();
         self.next_query.set(QueryId(id.0 + 1));
         let (reply, response) = async_channel::bounded(1);
@@ -112,6 +120,7 @@
             id,
             connection,
             request,
+            arrived_at,
             reply,
         }));
         QueryHandle {
--- a/crates/broker/src/listeners/accept.rs
+++ b/crates/broker/src/listeners/accept.rs
@@ -1,14 +1,19 @@
 //! Accepts connections for all versions of HTTP. A connection that gets a slot is served by a task
 //! of its own; any other is rejected.
 
+use super::arrival::Backlog;
 use super::slots::{ConnectionSlots, Slot};
 use crate::net::{LINGER, linger};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::io;
 use std::net::{TcpListener, TcpStream};
+use std::pin::pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tracing::warn;
 
 /// Delay after a failed accept. The usual cause is that file descriptors have run out, so that an
@@ -20,8 +25,14 @@
     /// Returns the listener's connection slots.
     fn slots(&self) -> &Rc<ConnectionSlots>;
 
-    /// Serves a connection until it is closed.
-    fn serve(self: Rc<Self>, stream: Async<TcpStream>, slot: Slot) -> impl Future<Output = ()>;
+    /// Serves a connection until it is closed. `arrived_at` is the earliest time at which the
+    /// connection arrived, and with it the first bytes that it holds.
+    fn serve(
+        self: Rc<Self>,
+        stream: Async<TcpStream>,
+        arrived_at: Instant,
+        slot: Slot,
+    ) -> impl Future<Output = ()>;
 
     /// Sends a response to a client whose connection gets no slot, if the version of HTTP allows a
     /// response at this point. Does not wait until the socket is writable: whatever the socket does
@@ -37,14 +48,29 @@
     executor: &'a LocalExecutor<'static>,
     /// `None` once the connection is served.
     stream: Option<Async<TcpStream>>,
+    arrived_at: Instant,
 }
 
-impl<H: ConnectionHandler> AcceptedConnection<'_, H> {
+impl<'a, H: ConnectionHandler> AcceptedConnection<'a, H> {
+    fn new(
+        handler: &'a Rc<H>,
+        executor: &'a LocalExecutor<'static>,
+        accepted: AcceptedStream,
+    ) -> Self {
+        AcceptedConnection {
+            handler,
+            executor,
+            stream: Some(accepted.stream),
+            arrived_at: accepted.arrived_at,
+        }
+    }
+
     /// Starts a task that serves the connection.
     fn start(mut self, slot: Slot) {
         if let Some(stream) = self.stream.take() {
+            let handler = self.handler.clone();
             self.executor
-                .spawn(self.handler.clone().serve(stream, slot))
+                .spawn(handler.serve(stream, self.arrived_at, slot))
                 .detach();
         }
     }
@@ -69,20 +95,65 @@
     }
 }
 
+/// A listening socket.
+pub(super) struct ListeningSocket {
+    socket: Async<TcpListener>,
+    backlog: RefCell<Backlog>,
+}
+
+/// A connection that was taken from the backlog.
+struct AcceptedStream {
+    stream: Async<TcpStream>,
+    /// When the connection arrived in the backlog at the earliest.
+    arrived_at: Instant,
+}
+
+impl ListeningSocket {
+    /// Takes over a listening socket that has just been opened.
+    pub(super) fn new(socket: Async<TcpListener>) -> Self {
+        ListeningSocket {
+            socket,
+            backlog: RefCell::new(Backlog::new(Instant::now())),
+        }
+    }
+
+    /// Waits for a connection and accepts it.
+    async fn accept(&self) -> io::Result<AcceptedStream> {
+        let mut accept = pin!(self.socket.accept());
+        let (stream, _) = poll_fn(|cx| {
+            let accepted = accept.as_mut().poll(cx);
+            if accepted.is_pending() {
+                self.backlog.borrow_mut().on_empty();
+            }
+            accepted
+        })
+        .await?;
+        Ok(self.accepted(stream))
+    }
+
+    /// Accepts a connection from the backlog. Returns `None` if there is none, and if the
+    /// connection cannot be accepted.
+    fn try_accept(&self) -> Option<AcceptedStream> {
+        let (stream, _) = self.socket.get_ref().accept().ok()?;
+        Some(self.accepted(Async::new(stream).ok()?))
+    }
+
+    fn accepted(&self, stream: Async<TcpStream>) -> AcceptedStream {
+        let arrived_at = self.backlog.borrow_mut().on_accepted(Instant::now());
+        AcceptedStream { stream, arrived_at }
+    }
+}
+
 /// Accepts connections until the task is cancelled.
 pub(super) async fn accept_connections<H: ConnectionHandler>(
     handler: Rc<H>,
-    socket: Rc<Async<TcpListener>>,
+    socket: Rc<ListeningSocket>,
     executor: Rc<LocalExecutor<'static>>,
 ) {
     loop {
         match socket.accept().await {
-            Ok((stream, _)) => {
-                let connection = AcceptedConnection {
-                    handler: &handler,
-                    executor: &executor,
-                    stream: Some(stream),
-                };
+            Ok(accepted) => {
+                let connection = AcceptedConnection::new(&handler, &executor, accepted);
                 if let Some(slot) = handler.slots().wait_for_slot().await {
                     connection.start(slot);
                 }
@@ -103,17 +174,11 @@
 /// slots: a connection for which no slot is free is rejected.
 pub(super) fn accept_backlog<H: ConnectionHandler>(
     handler: &Rc<H>,
-    socket: &Async<TcpListener>,
+    socket: &ListeningSocket,
     executor: &LocalExecutor<'static>,
 ) {
-    while let Ok((stream, _)) = socket.get_ref().accept()
-        && let Ok(stream) = Async::new(stream)
-    {
-        let connection = AcceptedConnection {
-            handler,
-            executor,
-            stream: Some(stream),
-        };
+    while let Some(accepted) = socket.try_accept() {
+        let connection = AcceptedConnection::new(handler, executor, accepted);
         if let Some(slot) = handler.slots().try_take() {
             connection.start(slot);
         }
--- a/crates/broker/src/listeners/context.rs
+++ b/crates/broker/src/listeners/context.rs
@@ -16,6 +16,8 @@
 use query_api::{Readiness, Response, Routed, connection_rejected, route};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Instant;
+use tracing::info;
 
 /// State shared by the connections of all listeners.
 pub struct ListenerContext {
@@ -69,8 +71,8 @@
         id
     }
 
-    /// Decodes a complete request and determines the next step.
-    pub(super) fn route(&self, request: &Request<Vec<u8>>) -> RoutedRequest {
+    /// Decodes a complete request that arrived at `arrived_at` and determines the next step.
+    pub(super) fn route(&self, request: &Request<Vec<u8>>, arrived_at: Instant) -> RoutedRequest {
         let phase = self.lifecycle.phase();
         let readiness = match phase {
             Phase::Serving => Readiness::Ready,
@@ -82,7 +84,10 @@
                 response: self.rejection(),
                 is_valid_request: true,
             }),
-            Routed::Query(query) => RoutedRequest::Query(query),
+            Routed::Query(query) => match self.reply_if_expired(&query, arrived_at) {
+                Some(reply) => RoutedRequest::Immediate(reply),
+                None => RoutedRequest::Query(query),
+            },
             Routed::Immediate {
                 response,
                 is_valid_request,
@@ -93,25 +98,45 @@
         }
     }
 
-    /// Submits a query immediately, before the returned future is polled. The future waits for the
-    /// query's final response. If `client_disconnected` completes first, the query is cancelled,
+    /// Returns the reply to a query that arrived at `arrived_at` if its client's timeout has passed
+    /// already. Such a query is rejected without the event loop, so that a connection with many of
+    /// them does not wait for an iteration for each.
+    fn reply_if_expired(&self, query: &QueryRequest, arrived_at: Instant) -> Option<Reply> {
+        let waited = arrived_at.elapsed();
+        if waited < query.client_timeout {
+            return None;
+        }
+        info!(
+            name: "query_expired_unread", id = %query.id, waited_ms = waited.as_millis() as u64,
+            client_timeout_ms = query.client_timeout.as_millis() as u64
+        );
+        Some(Reply {
+            response: self.rejection(),
+            is_valid_request: true,
+        })
+    }
+
+    /// Submits a query that arrived at `arrived_at` immediately, before the returned future is polled.
+    /// The future waits for the query's final response. If `client_disconnected` completes first, the query is cancelled,
     /// and the future returns the output of `client_disconnected` as an error.
     pub(super) fn submit<'a, E: 'a>(
         &'a self,
         connection: ConnectionId,
         query: QueryRequest,
+        arrived_at: Instant,
         client_disconnected: impl Future<Output = E> + 'a,
     ) -> impl Future<Output = Result<Reply, E>> + 'a {
         // If the handle is dropped before the response has arrived, it reports the disconnection to
         // the event loop, which cancels the query.
-        let handle = self.events.submit_query(connection, query);
+        let arrived_at = self.clock.timestamp(arrived_at);
+        let handle = self.events.submit_query(connection, query, arrived_at);
         let reply = async move { Ok(final_reply(&handle.response().await)) };
         let cancelled = async { Err(client_disconnected.await) };
         reply.or(cancelled)
     }
 
-    /// Returns the response to a client that is rejected, because no connection slot is free or the
-    /// broker is shutting down.
+    /// Returns the response to a client that is rejected, because no connection slot is free, the
+    /// broker is shutting down or the client's timeout has passed.
     pub(super) fn rejection(&self) -> Response {
         connection_rejected(&self.settings)
     }
--- a/crates/broker/src/listeners/http1/connection.rs
+++ b/crates/broker/src/listeners/http1/connection.rs
@@ -11,7 +11,6 @@
 use crate::net::{LINGER, LINGER_IDLE, has_hung_up};
 use admission::ConnectionId;
 use async_io::{Async, Timer};
-use broker_types::time::whole_micros;
 use futures_lite::FutureExt;
 use futures_lite::future::yield_now;
 use http::{Method, Request};
@@ -20,7 +19,7 @@
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Limit on reading pipelined requests while a response is outstanding: once at least this number
 /// of bytes is buffered, nothing more is read.
@@ -75,13 +74,14 @@
         context: &'a Rc<ListenerContext>,
         slots: &'a ConnectionSlots,
         stream: &'a Async<TcpStream>,
+        arrived_at: Instant,
     ) -> Self {
         Http1Connection {
             context,
             slots,
             stream,
             id: context.next_connection(),
-            input: RequestInput::new(stream),
+            input: RequestInput::new(stream, arrived_at),
             has_served: false,
         }
     }
@@ -95,8 +95,11 @@
             {
                 return Ok(LINGER_IDLE);
             }
-            let request = match self.receive_request().await {
-                Ok(ReceivedRequest::Complete(request)) => request,
+            let (message, arrived_at) = match self.receive_request().await {
+                Ok(ReceivedRequest::Complete {
+                    message,
+                    arrived_at,
+                }) => (message, arrived_at),
                 Ok(ReceivedRequest::Invalid(error)) => {
                     return self
                         .close_with(error_reply(error.status(), error.to_string()))
@@ -107,7 +110,7 @@
                 }
                 Err(error) => return Err(error),
             };
-            if self.respond(&request).await? == Persistence::Close {
+            if self.respond(&message, arrived_at).await? == Persistence::Close {
                 return Ok(LINGER);
             }
             self.input.release_empty_buffer();
@@ -177,10 +180,14 @@
         received.or(evicted).await
     }
 
-    /// Determines the response to a request and writes it. Returns whether the connection stays
-    /// open.
-    async fn respond(&mut self, request: &Message<Request<Vec<u8>>>) -> io::Result<Persistence> {
-        let reply = self.reply_to(&request.value).await?;
+    /// Determines the response to a request that arrived at `arrived_at`, and writes it. Returns
+    /// whether the connection stays open.
+    async fn respond(
+        &mut self,
+        request: &Message<Request<Vec<u8>>>,
+        arrived_at: Instant,
+    ) -> io::Result<Persistence> {
+        let reply = self.reply_to(&request.value, arrived_at).await?;
         let is_serving = self.context.lifecycle().phase() == Phase::Serving;
         let options = ResponseOptions {
             version: request.value.version(),
@@ -198,20 +205,24 @@
     }
 
     /// Determines the reply to a request. If the request is a query, submits it and waits for its
-    /// final response. Fails if the client disconnects before the reply is known.
-    async fn reply_to(&mut self, request: &Request<Vec<u8>>) -> io::Result<Reply> {
-        let mut query = match self.context.route(request) {
+    /// final response. The client's timeout starts at `arrived_at`. Fails if the client disconnects
+    /// before the reply is known.
+    async fn reply_to(
+        &mut self,
+        request: &Request<Vec<u8>>,
+        arrived_at: Instant,
+    ) -> io::Result<Reply> {
+        let query = match self.context.route(request, arrived_at) {
             RoutedRequest::Query(query) => query,
             RoutedRequest::Immediate(reply) => return Ok(reply),
         };
-        // The client's timeout includes the time for which a pipelined request has waited in the
-        // buffer until the request before it was served.
-        let waited = whole_micros(self.input.last_read_at().elapsed());
-        query.client_timeout = query
-            .client_timeout
-            .saturating_sub(Duration::from_micros(waited));
         let disconnected = wait_for_disconnect(self.stream, &mut self.input);
-        self.context.submit(self.id, query, disconnected).await
+        let submitted = self
+            .context
+            .submit(self.id, query, arrived_at, disconnected);
+        let reply = submitted.await;
+        self.input.on_read_dropped();
+        reply
     }
 
     /// Sends the reply to a request whose end is unknown. The connection has to be closed after
--- a/crates/broker/src/listeners/http1/input.rs
+++ b/crates/broker/src/listeners/http1/input.rs
@@ -2,8 +2,8 @@
 //! outstanding.
 
 use crate::clock::with_timeout;
+use crate::listeners::arrival::{BufferedArrivals, UnreadBytes, read_with_arrival};
 use crate::listeners::timeouts::{MESSAGE_TIMEOUT, RECEIVE_TIMEOUT};
-use crate::net::read_some;
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::yield_now;
@@ -26,7 +26,11 @@
 /// Result of reading a request.
 pub(super) enum ReceivedRequest {
     /// The request is complete.
-    Complete(Box<Message<Request<Vec<u8>>>>),
+    Complete {
+        message: Box<Message<Request<Vec<u8>>>>,
+        /// When its last byte arrived at the earliest.
+        arrived_at: Instant,
+    },
     /// The request violates the protocol or a limit. Its end is unknown, so no further request can
     /// be read from the connection.
     Invalid(ParseError),
@@ -38,23 +42,30 @@
     decoder: RequestDecoder,
     /// Bytes that have been read and not decoded yet.
     buffer: Vec<u8>,
-    /// When bytes were last read. Everything in the buffer arrived at this time or before.
-    last_read_at: Instant,
+    /// Arrival times of the bytes in `buffer`.
+    arrivals: BufferedArrivals,
+    /// When the byte that was decoded last arrived at the earliest.
+    decoded_arrived_at: Instant,
+    /// Bytes that have not been read yet.
+    unread: UnreadBytes,
 }
 
 impl<'a> RequestInput<'a> {
-    pub(super) fn new(stream: &'a Async<TcpStream>) -> Self {
+    /// Creates a reader of a connection that arrived at `arrived_at` at the earliest.
+    pub(super) fn new(stream: &'a Async<TcpStream>, arrived_at: Instant) -> Self {
         RequestInput {
             stream,
             decoder: RequestDecoder::new(REQUEST_LIMITS),
             buffer: Vec::new(),
-            last_read_at: Instant::now(),
+            arrivals: BufferedArrivals::default(),
+            decoded_arrived_at: arrived_at,
+            unread: UnreadBytes::new(arrived_at),
         }
     }
 
-    /// Returns when bytes were last read.
-    pub(super) fn last_read_at(&self) -> Instant {
-        self.last_read_at
+    /// Records that the caller has dropped the future of [`Self::read`] and does not read for now.
+    pub(super) fn on_read_dropped(&mut self) {
+        self.unread.on_wait_ended(Instant::now());
     }
 
     /// Returns the number of bytes that have been read and not decoded yet.
@@ -72,9 +83,20 @@
     /// Waits until bytes have arrived and reads them into the buffer. Returns their number, which
     /// is 0 if the client has closed its side.
     pub(super) async fn read(&mut self) -> io::Result<usize> {
-        let received = read_some(self.stream, &mut self.buffer).await?;
-        self.last_read_at = Instant::now();
-        Ok(received)
+        let read = read_with_arrival(self.stream, &mut self.buffer, &mut self.unread).await?;
+        self.arrivals.on_appended(read.len, read.arrived_at);
+        Ok(read.len)
+    }
+
+    /// Decodes bytes of the buffer and removes them.
+    fn decode(&mut self) -> Result<Progress<Request<Vec<u8>>>, ParseError> {
+        let buffered = self.buffer.len();
+        let progress = self.decoder.decode(&mut self.buffer);
+        let removed = buffered - self.buffer.len();
+        if let Some(arrived_at) = self.arrivals.on_removed(removed) {
+            self.decoded_arrived_at = arrived_at;
+        }
+        progress
     }
 
     /// Reads until a request is complete or found to be invalid.
@@ -88,10 +110,13 @@
     pub(super) async fn read_request(&mut self) -> io::Result<ReceivedRequest> {
         let mut continue_sent = false;
         loop {
-            let awaits_continue = match self.decoder.decode(&mut self.buffer) {
+            let awaits_continue = match self.decode() {
                 Err(error) => return Ok(ReceivedRequest::Invalid(error)),
                 Ok(Progress::Complete(message)) => {
-                    return Ok(ReceivedRequest::Complete(Box::new(message)));
+                    return Ok(ReceivedRequest::Complete {
+                        message: Box::new(message),
+                        arrived_at: self.decoded_arrived_at,
+                    });
                 }
                 Ok(Progress::Incomplete { awaits_continue }) => awaits_continue,
             };
--- a/crates/broker/src/listeners/http1/mod.rs
+++ b/crates/broker/src/listeners/http1/mod.rs
@@ -16,7 +16,7 @@
 use std::io::{self, Write};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The listener for HTTP/1.1.
 pub(super) struct Http1Listener {
@@ -32,8 +32,9 @@
     /// Serves a connection until it is closed. After an I/O error the connection is closed in the
     /// same way as after its last response. If the error is the client's disconnection, the query
     /// has already been cancelled.
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, slot: Slot) {
-        let linger_time = self.serve_requests(&stream).await.unwrap_or(LINGER);
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, arrived_at: Instant, slot: Slot) {
+        let linger_time = self.serve_requests(&stream, arrived_at).await;
+        let linger_time = linger_time.unwrap_or(LINGER);
         // The connection counts as open until `_closing` is dropped. Its slot is freed for another
         // connection now, unless too many connections without a slot are already being closed.
         let _closing = slot.close();
@@ -69,9 +70,13 @@
 
     /// Serves the requests of a connection until it has to be closed. Returns the time limit with
     /// which the caller must call [`linger`] to close it.
-    async fn serve_requests(&self, stream: &Async<TcpStream>) -> io::Result<Duration> {
+    async fn serve_requests(
+        &self,
+        stream: &Async<TcpStream>,
+        arrived_at: Instant,
+    ) -> io::Result<Duration> {
         stream.get_ref().set_nodelay(true)?;
-        Http1Connection::new(&self.context, &self.slots, stream)
+        Http1Connection::new(&self.context, &self.slots, stream, arrived_at)
             .serve()
             .await
     }
--- a/crates/broker/src/listeners/http2/guarded_connection.rs
+++ b/crates/broker/src/listeners/http2/guarded_connection.rs
@@ -6,6 +6,7 @@
 
 use super::guarded_socket::{GuardedSocket, SharedGuard};
 use super::stream::NewStream;
+use crate::listeners::arrival::LastArrival;
 use broker_types::time::Timestamp;
 use bytes::Bytes;
 use h2::{Reason, server};
@@ -26,15 +27,21 @@
 pub(super) struct GuardedConnection {
     h2: server::Connection<GuardedSocket, Bytes>,
     guard: SharedGuard,
+    last_arrival: LastArrival,
     /// Whether [`Self::shut_down_abruptly`] was called.
     is_shut_down: bool,
 }
 
 impl GuardedConnection {
-    pub(super) fn new(h2: server::Connection<GuardedSocket, Bytes>, guard: SharedGuard) -> Self {
+    pub(super) fn new(
+        h2: server::Connection<GuardedSocket, Bytes>,
+        guard: SharedGuard,
+        last_arrival: LastArrival,
+    ) -> Self {
         GuardedConnection {
             h2,
             guard,
+            last_arrival,
             is_shut_down: false,
         }
     }
@@ -53,7 +60,8 @@
         }
         accepted.map(|accepted| match accepted {
             Some(Ok((request, respond))) => {
-                ProtocolEvent::StreamOpened(Box::new(NewStream::new(request, respond)))
+                let stream = NewStream::new(request, respond, self.last_arrival.clone());
+                ProtocolEvent::StreamOpened(Box::new(stream))
             }
             Some(Err(error)) => ProtocolEvent::Closed(Some(error)),
             None => ProtocolEvent::Closed(None),
--- a/crates/broker/src/listeners/http2/guarded_socket.rs
+++ b/crates/broker/src/listeners/http2/guarded_socket.rs
@@ -1,7 +1,9 @@
 //! The socket of an HTTP/2 connection, adapted to the `h2` library, with the flood guard on its
 //! input.
 
+use super::handshake::ReceivedPreface;
 use crate::clock::Clock;
+use crate::listeners::arrival::{LastArrival, UnreadBytes};
 use async_io::Async;
 use broker_types::time::Timestamp;
 use futures_lite::{AsyncRead as _, AsyncWrite as _};
@@ -11,7 +13,8 @@
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
+use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// The flood guard of a connection and the violation that it has reported, if any.
@@ -67,19 +70,26 @@
     /// library has not read yet.
     initial_input: Vec<u8>,
     guard: SharedGuard,
+    /// Bytes that have not been read from the stream yet.
+    unread: UnreadBytes,
+    last_arrival: LastArrival,
     clock: Clock,
 }
 
 impl GuardedSocket {
+    /// Creates a socket that continues after `preface`.
     pub(super) fn new(
         stream: Rc<Async<TcpStream>>,
-        initial_input: Vec<u8>,
+        preface: ReceivedPreface,
         guard: SharedGuard,
+        last_arrival: LastArrival,
         clock: Clock,
     ) -> Self {
         GuardedSocket {
             stream,
-            initial_input,
+            initial_input: preface.bytes,
+            unread: preface.unread,
+            last_arrival,
             guard,
             clock,
         }
@@ -108,7 +118,14 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let unfilled = buf.initialize_unfilled();
-        let length = ready!(Pin::new(&mut &*self.stream).poll_read(cx, unfilled))?;
+        let Poll::Ready(length) = Pin::new(&mut &*self.stream).poll_read(cx, unfilled) else {
+            self.unread.on_empty();
+            return Poll::Pending;
+        };
+        let length = length?;
+        let is_emptied = length < unfilled.len();
+        self.last_arrival
+            .set(self.unread.on_read(Instant::now(), is_emptied));
         if self.inspect(&unfilled[..length]).is_err() {
             return Poll::Pending;
         }
--- a/crates/broker/src/listeners/http2/handshake.rs
+++ b/crates/broker/src/listeners/http2/handshake.rs
@@ -4,11 +4,12 @@
 use super::guarded_socket::{GuardState, GuardedSocket};
 use super::lifetime::CLOSE_TIMEOUT;
 use crate::clock::{Clock, with_timeout};
+use crate::listeners::arrival::{LastArrival, UnreadBytes, read_with_arrival};
 use crate::listeners::context::ListenerContext;
 use crate::listeners::reply::{CLOSING_RESPONSE, error_reply};
 use crate::listeners::slots::{ConnectionSlots, EvictionPriority};
 use crate::listeners::timeouts::RECEIVE_TIMEOUT;
-use crate::net::{LINGER, linger, read_some};
+use crate::net::{LINGER, linger};
 use admission::resource_limits::Http2Limits;
 use async_io::{Async, Timer};
 use broker_types::time::Timestamp;
@@ -21,7 +22,7 @@
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 
 /// Part of [`STREAM_WINDOW_BYTES`] beyond the maximum length of a body, in bytes. It lets a client
@@ -53,24 +54,39 @@
     Closed,
 }
 
-/// Reads the connection preface and what follows it in the same read, and returns all bytes that
-/// were read. The connection may be evicted meanwhile.
+/// The start of the input of a connection, with its preface.
+pub(super) struct ReceivedPreface {
+    /// The preface and what followed it in the same read.
+    pub(super) bytes: Vec<u8>,
+    /// When the last of these bytes arrived at the earliest.
+    pub(super) arrived_at: Instant,
+    /// The bytes that have not been read yet.
+    pub(super) unread: UnreadBytes,
+}
+
+/// Reads the connection preface and what follows it in the same read. The connection, which arrived
+/// at `arrived_at` at the earliest, may be evicted meanwhile.
 pub(super) async fn read_preface(
     stream: &Async<TcpStream>,
+    arrived_at: Instant,
     slots: &ConnectionSlots,
-) -> Result<Vec<u8>, PrefaceError> {
+) -> Result<ReceivedPreface, PrefaceError> {
     // This guard checks only the bytes of `PREFACE`, which precede the first frame. Its limits
     // apply to frames and therefore have no effect.
     let mut guard = FloodGuard::new(Timestamp::ORIGIN, FloodLimits::new(1, 1));
     let mut received = Vec::new();
+    let mut arrived_at = arrived_at;
+    let mut unread = UnreadBytes::new(arrived_at);
     let evictable = slots.evictable(EvictionPriority::Unused);
     let read = async {
         while received.len() < PREFACE.len() {
             let inspected = received.len();
-            let read = read_some(stream, &mut received).await;
-            if read.map_err(|_| PrefaceError::Closed)? == 0 {
+            let read = read_with_arrival(stream, &mut received, &mut unread).await;
+            let read = read.map_err(|_| PrefaceError::Closed)?;
+            if read.len == 0 {
                 return Err(PrefaceError::Closed);
             }
+            arrived_at = read.arrived_at;
             let end = received.len().min(PREFACE.len());
             guard.on_received(Timestamp::ORIGIN, &received[inspected..end])?;
         }
@@ -82,7 +98,11 @@
         Err(PrefaceError::Closed)
     };
     read.or(closed).await?;
-    Ok(received)
+    Ok(ReceivedPreface {
+        bytes: received,
+        arrived_at,
+        unread,
+    })
 }
 
 /// Closes a connection whose client does not speak HTTP/2. A client that speaks HTTP/1 gets an
@@ -101,19 +121,20 @@
     linger(stream, LINGER).await
 }
 
-/// Exchanges settings with the client. `received` holds the bytes that [`read_preface`] has read.
+/// Exchanges settings with the client, after [`read_preface`] has read `preface`.
 /// The result is boxed, so that the task of a connection does not reserve memory for it before the
 /// settings are exchanged.
 pub(super) async fn handshake(
     limits: Http2Limits,
     clock: Clock,
     stream: Rc<Async<TcpStream>>,
-    received: Vec<u8>,
+    preface: ReceivedPreface,
 ) -> io::Result<Box<GuardedConnection>> {
     let flood_limits = FloodLimits::new(limits.max_streams, limits.max_header_list);
     let guard = GuardState::new(FloodGuard::new(clock.now(), flood_limits));
     let _ = stream.get_ref().set_nodelay(true);
-    let socket = GuardedSocket::new(stream, received, guard.clone(), clock);
+    let last_arrival = LastArrival::new(preface.arrived_at);
+    let socket = GuardedSocket::new(stream, preface, guard.clone(), last_arrival.clone(), clock);
     let max_streams = limits.max_streams as usize;
     let handshake = server::Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
@@ -127,5 +148,5 @@
         .handshake::<_, Bytes>(socket);
     let handshake = async { handshake.await.map_err(io::Error::other) };
     let h2 = with_timeout(RECEIVE_TIMEOUT, handshake).await?;
-    Ok(Box::new(GuardedConnection::new(h2, guard)))
+    Ok(Box::new(GuardedConnection::new(h2, guard, last_arrival)))
 }
--- a/crates/broker/src/listeners/http2/mod.rs
+++ b/crates/broker/src/listeners/http2/mod.rs
@@ -20,10 +20,11 @@
 use admission::resource_limits::Http2Limits;
 use async_io::Async;
 use connection::Http2Connection;
-use handshake::{PrefaceError, handshake, read_preface, reject_protocol};
+use handshake::{PrefaceError, ReceivedPreface, handshake, read_preface, reject_protocol};
 use std::cell::Cell;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::time::Instant;
 use tracing::warn;
 
 /// The listener for HTTP/2.
@@ -39,12 +40,12 @@
         &self.slots
     }
 
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, _slot: Slot) {
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, arrived_at: Instant, _slot: Slot) {
         let id = self.context.next_connection();
         let stream = Rc::new(stream);
-        match read_preface(&stream, &self.slots).await {
-            Ok(received) => {
-                self.serve_requests(id, stream.clone(), received).await;
+        match read_preface(&stream, arrived_at, &self.slots).await {
+            Ok(preface) => {
+                self.serve_requests(id, stream.clone(), preface).await;
                 // Closing the socket with unread data would reset the connection, and the client
                 // would lose the last frames.
                 let _ = linger(&stream, LINGER).await;
@@ -85,14 +86,13 @@
     }
 
     /// Exchanges settings with the client and serves its requests until the connection is closed.
-    /// `received` holds the bytes that [`read_preface`] has read from the socket.
     async fn serve_requests(
         &self,
         id: ConnectionId,
         stream: Rc<Async<TcpStream>>,
-        received: Vec<u8>,
+        preface: ReceivedPreface,
     ) {
-        let handshake = handshake(self.limits.get(), self.context.clock(), stream, received);
+        let handshake = handshake(self.limits.get(), self.context.clock(), stream, preface);
         if let Ok(protocol) = handshake.await {
             let mut connection = Http2Connection::new(&self.context, &self.slots, id, protocol);
             connection.run().await;
--- a/crates/broker/src/listeners/http2/stream.rs
+++ b/crates/broker/src/listeners/http2/stream.rs
@@ -2,6 +2,7 @@
 
 use super::request_body::{ReceivedBody, check_authority, receive_body};
 use crate::clock::with_timeout;
+use crate::listeners::arrival::LastArrival;
 use crate::listeners::context::{ListenerContext, RoutedRequest};
 use crate::listeners::reply::{Reply, error_reply, request_timeout_reply};
 use crate::listeners::timeouts::MESSAGE_TIMEOUT;
@@ -63,11 +64,20 @@
 pub(super) struct NewStream {
     request: Request<RecvStream>,
     respond: SendResponse<Bytes>,
+    last_arrival: LastArrival,
 }
 
 impl NewStream {
-    pub(super) fn new(request: Request<RecvStream>, respond: SendResponse<Bytes>) -> Self {
-        NewStream { request, respond }
+    pub(super) fn new(
+        request: Request<RecvStream>,
+        respond: SendResponse<Bytes>,
+        last_arrival: LastArrival,
+    ) -> Self {
+        NewStream {
+            request,
+            respond,
+            last_arrival,
+        }
     }
 
     /// Resets the stream with `REFUSED_STREAM`. The client may retry the request on another
@@ -85,24 +95,26 @@
         let NewStream {
             request,
             mut respond,
+            last_arrival,
         } = self;
-        let received_at = Instant::now();
+        let opened_at = Instant::now();
         let (head, mut body) = request.into_parts();
         let body_policy = BodyPolicy::for_method(&head.method);
         let receive = receive_body(&mut body, &head.headers);
         let received = with_timeout(MESSAGE_TIMEOUT, receive).await;
-        let pending = match route(&context, head, received) {
+        let arrived_at = last_arrival.get();
+        let pending = match route(&context, head, received, arrived_at) {
             Ok(RoutedRequest::Query(query)) => {
-                let deadline = received_at + query.client_timeout;
+                let deadline = arrived_at + query.client_timeout;
                 let reset = poll_fn(|cx| respond.poll_reset(cx));
-                match context.submit(connection, query, reset).await {
+                match context.submit(connection, query, arrived_at, reset).await {
                     Ok(reply) => PendingReply { reply, deadline },
                     Err(_reset) => return StreamOutcome::QUERY_CANCELLED,
                 }
             }
             Ok(RoutedRequest::Immediate(reply)) => PendingReply {
                 reply,
-                deadline: received_at + MESSAGE_TIMEOUT,
+                deadline: opened_at + MESSAGE_TIMEOUT,
             },
             Err(_cancelled) => return StreamOutcome::REQUEST_CANCELLED,
         };
@@ -124,19 +136,20 @@
     }
 }
 
-/// Determines the next step for a request from its head and the result of receiving its body. The
-/// request is dropped here, so that it uses no memory while its query is processed. Returns an
+/// Determines the next step for a request from its head, the result of receiving its body and the
+/// time of its arrival. The request is dropped here, so that it uses no memory while its query is processed. Returns an
 /// error if the client cancelled the stream.
 fn route(
     context: &ListenerContext,
     head: Parts,
     received: io::Result<ReceivedBody>,
+    arrived_at: Instant,
 ) -> io::Result<RoutedRequest> {
     let reply = match received {
         Ok(ReceivedBody::Complete(bytes)) => {
             let request = Request::from_parts(head, bytes);
             match check_authority(&request) {
-                Ok(()) => return Ok(context.route(&request)),
+                Ok(()) => return Ok(context.route(&request, arrived_at)),
                 Err(error) => error_reply(400, error.to_string()),
             }
         }
--- a/crates/broker/src/listeners/mod.rs
+++ b/crates/broker/src/listeners/mod.rs
@@ -5,6 +5,7 @@
 //! They share a [`ListenerContext`].
 
 mod accept;
+mod arrival;
 mod context;
 mod date;
 mod http1;
@@ -16,7 +17,7 @@
 
 pub use context::ListenerContext;
 
-use accept::{ConnectionHandler, accept_backlog, accept_connections};
+use accept::{ConnectionHandler, ListeningSocket, accept_backlog, accept_connections};
 use admission::resource_limits::ListenerLimits;
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
@@ -46,7 +47,7 @@
 /// A listening socket and the task that accepts connections on it.
 struct Accepting {
     task: Task<()>,
-    socket: Rc<Async<TcpListener>>,
+    socket: Rc<ListeningSocket>,
 }
 
 impl<H: ConnectionHandler> Listener<H> {
@@ -57,7 +58,7 @@
         executor: &Rc<LocalExecutor<'static>>,
     ) -> Self {
         let handler = Rc::new(handler);
-        let socket = Rc::new(socket);
+        let socket = Rc::new(ListeningSocket::new(socket));
         let task = executor.spawn(accept_connections(
             handler.clone(),
             socket.clone(),
--- a/crates/broker/src/listeners/tests.rs
+++ b/crates/broker/src/listeners/tests.rs
@@ -1,11 +1,13 @@
 //! Tests that a new connection is accepted or gets a response when all slots are in use and when
 //! the listener is closed.
 
-use super::accept::accept_connections;
+use super::accept::{ListeningSocket, accept_connections};
 use super::slots::{ConnectionSlots, EvictionPriority};
 use super::*;
 use crate::clock::{Clock, with_timeout};
+use crate::event_queue::{Event, EventQueue, ReceivedQuery};
 use crate::net::read_some;
+use async_io::Timer;
 use broker_types::query::Names;
 use fanout_policy::settings::decode;
 use futures_lite::future::yield_now;
@@ -13,11 +15,26 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
+/// Time for which a connection waits for a slot.
+const SLOT_WAIT: Duration = Duration::from_millis(100);
 /// Time limit of a test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// A request of a query that leaves the client a second, with its length and its body.
+fn request() -> String {
+    let body = r#"{"ranges":[{"range":0,"portion":1}],"predicate":""}"#;
+    let head =
+        "POST /a HTTP/1.1\r\nHost: a\r\nX-Request-Id: b\r\nX-Tenant: acme\r\nX-Deadline: 1000m";
+    format!("{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
 /// Creates the context of a broker in the phase [`Phase::Serving`].
 fn context() -> Rc<ListenerContext> {
+    context_with(Rc::default(), Clock::start())
+}
+
+/// Creates the context of a broker in the phase [`Phase::Serving`] that submits queries to `events`.
+fn context_with(events: Rc<EventQueue>, clock: Clock) -> Rc<ListenerContext> {
     let settings: serde_json::Value =
         serde_json::from_str(include_str!("../../../broker-types/tests/settings.json")).unwrap();
     let site = decode("settings", settings.as_object().unwrap()).unwrap();
@@ -26,7 +43,7 @@
         tenants: vec!["acme".into()],
         zones: Vec::new(),
     };
-    ListenerContext::new(Rc::default(), site.settings, names, Clock::start())
+    ListenerContext::new(events, site.settings, names, clock)
 }
 
 /// Both slots are in use by connections that may be evicted. The one that is evicted first receives
@@ -46,11 +63,11 @@
         evictable.evicted().await;
         drop(slot);
     });
-    let socket = Rc::new(Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap());
+    let socket = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
     let _client = TcpStream::connect(socket.get_ref().local_addr().unwrap()).unwrap();
     let _accepting = executor.spawn(accept_connections(
         listener.clone(),
-        socket,
+        Rc::new(ListeningSocket::new(socket)),
         executor.clone(),
     ));
     let accepted = async {
@@ -95,9 +112,7 @@
     let mut client = TcpStream::connect(socket.get_ref().local_addr().unwrap()).unwrap();
     let context = context();
     let mut listener = Listener::start(Http1Listener::new(context.clone(), 1), socket, &executor);
-    let body = r#"{"ranges":[{"range":0,"portion":1}],"predicate":""}"#;
-    let head = "POST /a HTTP/1.1\r\nHost: a\r\nX-Request-Id: b\r\nX-Tenant: acme\r\n";
-    let request = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
+    let request = request();
     let response = async {
         listener.close(&executor).await;
         context.lifecycle().set_phase(Phase::Closing);
@@ -118,3 +133,54 @@
         String::from_utf8_lossy(&response)
     );
 }
+
+/// Returns the next query that a listener submits.
+async fn next_query(events: &EventQueue) -> ReceivedQuery {
+    loop {
+        events.wait().await;
+        let query = events.drain().into_iter().find_map(|event| match event {
+            Event::QueryReceived(query) => Some(query),
+            _ => None,
+        });
+        if let Some(query) = query {
+            return query;
+        }
+    }
+}
+
+/// Guards against a request that gets its full time anew when it is read. Its client's time passes
+/// while the connection waits for a slot, and while it waits in the backlog because the broker makes
+/// room for the connection before it.
+#[test]
+fn time_of_a_request_that_waits_for_a_slot_starts_when_it_arrives() {
+    for connections_before in [0, 1] {
+        let executor = Rc::new(LocalExecutor::new());
+        let events: Rc<EventQueue> = Rc::default();
+        let clock = Clock::start();
+        let socket = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+        let address = socket.get_ref().local_addr().unwrap();
+        let listener = Http1Listener::new(context_with(events.clone(), clock), 1);
+        let listener = Listener::start(listener, socket, &executor);
+        let slot = listener.handler.slots().take();
+        let query = async {
+            let mut silent_clients = Vec::new();
+            for _ in 0..connections_before {
+                silent_clients.push(TcpStream::connect(address)?);
+            }
+            let mut client = TcpStream::connect(address)?;
+            client.write_all(request().as_bytes())?;
+            let sent_at = clock.now();
+            Timer::after(SLOT_WAIT).await;
+            drop(slot);
+            let query = next_query(&events).await;
+            Ok((sent_at, query, client, silent_clients))
+        };
+        let (sent_at, query, ..) =
+            async_io::block_on(executor.run(with_timeout(TEST_TIMEOUT, query))).unwrap();
+        assert!(
+            query.arrived_at < sent_at + SLOT_WAIT / 2,
+            "the request was sent at {sent_at:?}, but its time started at {:?}",
+            query.arrived_at
+        );
+    }
+}
--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -66,7 +66,7 @@
     /// Admits a query and returns it in the form that the policy takes. If the query cannot be
     /// admitted, sends its final response and returns `None`.
     pub(crate) fn admit(&mut self, now: Timestamp, query: ReceivedQuery) -> Option<QuerySpec> {
-        let deadline = now + query.request.client_timeout;
+        let deadline = query.arrived_at + query.request.client_timeout;
         if let Err(response) = self.reservations.reserve(now, &query, deadline) {
             // Sending fails if the client has disconnected.
             let _ = query.reply.try_send(response);
@@ -77,11 +77,12 @@
             id: query.id,
             class: request.class,
             tenant: request.tenant,
+            arrived_at: query.arrived_at,
             deadline,
             is_retry: request.is_retry,
             parts: request.parts.clone(),
         };
-        self.queries.insert(query.id, ClientQuery::new(now, query));
+        self.queries.insert(query.id, ClientQuery::new(query));
         Some(spec)
     }
 
--- a/crates/broker/src/queries/client_query.rs
+++ b/crates/broker/src/queries/client_query.rs
@@ -21,18 +21,19 @@
     reply: Sender<FinalResponse>,
     /// The values received so far, by index of the part; `None` for a part without a value.
     values: Vec<Option<String>>,
-    received_at: Timestamp,
+    arrived_at: Timestamp,
     attempts: AttemptLog,
     span: Span,
 }
 
 impl ClientQuery {
     /// Creates a query in flight from a received query that has just been admitted.
-    pub(super) fn new(now: Timestamp, received: ReceivedQuery) -> Self {
+    pub(super) fn new(received: ReceivedQuery) -> Self {
         let ReceivedQuery {
             id,
             connection,
             request,
+            arrived_at,
             reply,
         } = received;
         let span = debug_span!("query", query = id.0, connection = connection.0, id = %request.id);
@@ -44,7 +45,7 @@
             values: vec![None; request.parts.len()],
             request,
             reply,
-            received_at: now,
+            arrived_at,
             attempts: AttemptLog::default(),
             span,
         }
@@ -160,12 +161,12 @@
             class = request.class.0,
             is_retry = request.is_retry,
             rejected = matches!(response, FinalResponse::Rejected { .. }),
-            elapsed_ms = now.saturating_since(self.received_at).as_millis() as u64,
+            elapsed_ms = now.saturating_since(self.arrived_at).as_millis() as u64,
             client_timeout_ms = request.client_timeout.as_millis() as u64,
             parts = request.parts.len(),
             answered_parts,
             attempts = self.attempts.len(),
-            unserved_attempts = self.attempts.format_unserved(self.received_at)
+            unserved_attempts = self.attempts.format_unserved(self.arrived_at)
         );
     }
 }
--- a/crates/fanout-policy/src/api/queries.rs
+++ b/crates/fanout-policy/src/api/queries.rs
@@ -19,6 +19,8 @@
     /// When the client stops waiting for an answer. A retry of the client arrives as a new query
     /// with the same deadline.
     pub client_deadline: Ms,
+    /// Time for which the query has waited, since it arrived, until the batch that contains it.
+    pub waited: Ms,
     /// Whether the client marked the query as a retry.
     pub is_retry: bool,
 }
--- a/crates/fanout-policy/src/lib.rs
+++ b/crates/fanout-policy/src/lib.rs
@@ -91,6 +91,7 @@
 //!     class: ClassIndex(0),
 //!     tenant: TenantIndex(0),
 //!     client_deadline: 4005.0,
+//!     waited: 0.0,
 //!     is_retry: false,
 //! };
 //! let first_part = Part { id: part.clone(), group: 1, shard: 0, weight: 1.0, cost_hint: None };
--- a/crates/fanout-policy/src/policy/admission.rs
+++ b/crates/fanout-policy/src/policy/admission.rs
@@ -89,7 +89,7 @@
     /// All attempts of a client at one query share one timeout, so a query that arrives with
     /// less time left than clients usually give it is a retry. The estimated timeout only serves
     /// to recognize a retry. The time of the first attempt is computed from the settings: it is the
-    /// client's deadline less [`Class::client_timeout`], but not later than now.
+    /// client's deadline less [`Class::client_timeout`], but not later than the arrival.
     ///
     /// If the latency objective of a retry counted from the arrival of the retry, a retry storm
     /// would fill the fleet with answers that are late for the client. Where clients do not mark
@@ -97,16 +97,17 @@
     /// certain.
     pub(crate) fn on_arrival(&mut self, batch: &BatchContext, class: usize, query: &Query) -> Ms {
         self.quotas.record_arrival(batch.now, query.tenant.0);
-        let time_left = query.client_deadline - batch.now;
+        let arrived_at = batch.now - query.waited;
+        let time_left = query.client_deadline - arrived_at;
         let estimate = &mut self.client_timeouts[class];
         estimate.record_time_left(time_left);
         let is_estimate_usable = !batch.settings.marks_retries && estimate.is_certain();
         let may_be_retry = query.is_retry || is_estimate_usable;
         if may_be_retry && estimate.is_shorter_than_usual(time_left) {
             let client_timeout = batch.settings.classes[class].client_timeout;
-            (query.client_deadline - client_timeout).min(batch.now)
+            (query.client_deadline - client_timeout).min(arrived_at)
         } else {
-            batch.now
+            arrived_at
         }
     }
 
--- a/crates/fanout-policy/tests/policy/common/harness.rs
+++ b/crates/fanout-policy/tests/policy/common/harness.rs
@@ -103,6 +103,7 @@
             class: ClassIndex(class),
             tenant: TenantIndex(0),
             client_deadline: self.now + TICK + client_timeout,
+            waited: 0.0,
             is_retry: false,
         };
         let weight = 1.0 / shards.len() as f64;
--- a/crates/policy-engine/src/commands.rs
+++ b/crates/policy-engine/src/commands.rs
@@ -14,6 +14,8 @@
     pub class: ClassIndex,
     /// Tenant of the query.
     pub tenant: TenantIndex,
+    /// Time at which the query arrived.
+    pub arrived_at: Timestamp,
     /// Time at which the client stops waiting.
     pub deadline: Timestamp,
     /// Whether the client marked the query as a retry.
--- a/crates/policy-engine/src/engine.rs
+++ b/crates/policy-engine/src/engine.rs
@@ -73,7 +73,7 @@
         let mut rejected = Vec::new();
         for query in queries {
             match self.admitted.admit(&query) {
-                Ok(()) => self.staged.extend(query_events(&query)),
+                Ok(()) => self.staged.extend(query_events(now, &query)),
                 Err(OverCapacity) => rejected.push(self.reject_over_capacity(&query)),
             }
         }
--- a/crates/policy-engine/src/engine/tests.rs
+++ b/crates/policy-engine/src/engine/tests.rs
@@ -47,6 +47,7 @@
         id: QueryId(id),
         class: ClassIndex(0),
         tenant: TenantIndex(0),
+        arrived_at: Timestamp::ORIGIN,
         deadline: DEADLINE,
         is_retry: false,
         parts: shards.iter().map(part).collect(),
--- a/crates/policy-engine/src/events.rs
+++ b/crates/policy-engine/src/events.rs
@@ -67,20 +67,22 @@
     }
 }
 
-/// Returns the events for a new query: one for the query itself, followed by one for each part.
-pub(crate) fn query_events(query: &QuerySpec) -> impl Iterator<Item = Event> {
+/// Returns the events for a query that the policy receives at `now`: one for the query itself,
+/// followed by one for each part.
+pub(crate) fn query_events(now: Timestamp, query: &QuerySpec) -> impl Iterator<Item = Event> {
     let parts = query.parts.iter().enumerate();
     let parts = parts.map(|(index, part)| part_event(query.id, PartIndex(index), part));
-    std::iter::once(query_event(query)).chain(parts)
+    std::iter::once(query_event(now, query)).chain(parts)
 }
 
-fn query_event(query: &QuerySpec) -> Event {
+fn query_event(now: Timestamp, query: &QuerySpec) -> Event {
     Event::Query(Query {
         id: policy_query_id(query.id),
         group: query.id.0,
         class: query.class,
         tenant: query.tenant,
         client_deadline: to_policy_time(query.deadline),
+        waited: to_policy_duration(now.saturating_since(query.arrived_at)),
         is_retry: query.is_retry,
     })
 }
--- a/crates/simulator-adapter/src/wire/incoming/arrival.rs
+++ b/crates/simulator-adapter/src/wire/incoming/arrival.rs
@@ -54,6 +54,8 @@
             class: arrival.class(),
             tenant: TenantIndex(self.tenant.unwrap_or(0) as usize),
             client_deadline: self.client_deadline_ms,
+            // Queries arrive at the time of their batch.
+            waited: 0.0,
             is_retry: self.is_retry,
         }
     }
