Close evicted connections at once and bound the wait for a connection slot

Cause, by a line at each accepted connection on a scratch copy: one wait of 500 ms for a slot and 87 of 4 to 5 ms. An evicted connection lingered for 500 ms so that its client could read the last response; 16 did so without a slot, the others kept theirs. The wait went on as long as any connection could be evicted, and the connections behind it waited with it.

Change: an evicted connection on which no response was sent is closed at once, as a reset destroys nothing there. A connection without a slot 250 ms after its arrival is rejected, whether or not others can be evicted. The log states how long it waited.

Tests on real sockets: without the first part the request is read only after the linger time; without the second all connections are evicted in vain.

--- a/crates/broker/src/listeners/accept.rs
+++ b/crates/broker/src/listeners/accept.rs
@@ -153,8 +153,9 @@
     loop {
         match socket.accept().await {
             Ok(accepted) => {
+                let arrived_at = accepted.arrived_at;
                 let connection = AcceptedConnection::new(&handler, &executor, accepted);
-                if let Some(slot) = handler.slots().wait_for_slot().await {
+                if let Some(slot) = handler.slots().wait_for_slot(arrived_at).await {
                     connection.start(slot);
                 }
             }
--- a/crates/broker/src/listeners/http1/connection.rs
+++ b/crates/broker/src/listeners/http1/connection.rs
@@ -35,11 +35,13 @@
     RequestStarted,
     /// The connection has to be closed.
     ConnectionEnded,
+    /// The connection was evicted and has to be closed.
+    Evicted,
 }
 
 impl WaitOutcome {
     /// Returns the outcome for the number of received bytes. The number is 0 if the client has
-    /// closed its side, or if the wait ended by a timeout or an eviction.
+    /// closed its side, or if the wait ended by a timeout.
     fn from_received_bytes(received: usize) -> Self {
         if received > 0 {
             WaitOutcome::RequestStarted
@@ -49,6 +51,14 @@
     }
 }
 
+/// Outcome of receiving a request whose first bytes have arrived.
+enum ReceiveOutcome {
+    /// The request is complete or invalid.
+    Received(ReceivedRequest),
+    /// The connection was evicted and has to be closed.
+    Evicted,
+}
+
 /// Whether a connection stays open after a response (RFC 9112, section 9.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Persistence {
@@ -58,6 +68,16 @@
     Close,
 }
 
+/// How a connection has to be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Closing {
+    /// With [`linger`](crate::net::linger) and this time limit.
+    Linger(Duration),
+    /// Immediately: the connection was evicted and no response was sent on it, so a reset destroys
+    /// none, and another connection needs its slot.
+    Immediately,
+}
+
 /// One HTTP/1.1 connection.
 pub(super) struct Http1Connection<'a> {
     context: &'a Rc<ListenerContext>,
@@ -67,6 +87,8 @@
     input: RequestInput<'a>,
     /// Whether a valid request has been served.
     has_served: bool,
+    /// Whether a response was sent.
+    has_responded: bool,
 }
 
 impl<'a> Http1Connection<'a> {
@@ -83,35 +105,38 @@
             id: context.next_connection(),
             input: RequestInput::new(stream, arrived_at),
             has_served: false,
+            has_responded: false,
         }
     }
 
-    /// Serves requests until the connection has to be closed. Returns the time limit with which the
-    /// caller must call [`linger`](crate::net::linger) to close it.
-    pub(super) async fn serve(&mut self) -> io::Result<Duration> {
+    /// Serves requests until the connection has to be closed. Returns how the caller must close it.
+    pub(super) async fn serve(&mut self) -> io::Result<Closing> {
         loop {
-            if self.input.buffered_bytes() == 0
-                && let WaitOutcome::ConnectionEnded = self.wait_for_request().await?
-            {
-                return Ok(LINGER_IDLE);
+            if self.input.buffered_bytes() == 0 {
+                match self.wait_for_request().await? {
+                    WaitOutcome::RequestStarted => {}
+                    WaitOutcome::ConnectionEnded => return Ok(Closing::Linger(LINGER_IDLE)),
+                    WaitOutcome::Evicted => return Ok(self.closing_after_eviction(LINGER_IDLE)),
+                }
             }
             let (message, arrived_at) = match self.receive_request().await {
-                Ok(ReceivedRequest::Complete {
+                Ok(ReceiveOutcome::Received(ReceivedRequest::Complete {
                     message,
                     arrived_at,
-                }) => (message, arrived_at),
-                Ok(ReceivedRequest::Invalid(error)) => {
+                })) => (message, arrived_at),
+                Ok(ReceiveOutcome::Received(ReceivedRequest::Invalid(error))) => {
                     return self
                         .close_with(error_reply(error.status(), error.to_string()))
                         .await;
                 }
+                Ok(ReceiveOutcome::Evicted) => return Ok(self.closing_after_eviction(LINGER)),
                 Err(error) if error.kind() == io::ErrorKind::TimedOut => {
                     return self.close_with(request_timeout_reply()).await;
                 }
                 Err(error) => return Err(error),
             };
             if self.respond(&message, arrived_at).await? == Persistence::Close {
-                return Ok(LINGER);
+                return Ok(Closing::Linger(LINGER));
             }
             self.input.release_empty_buffer();
             // All connections are served by one thread. Without this, a client that always has
@@ -138,14 +163,31 @@
             RECEIVE_TIMEOUT
         };
         let timer = Timer::after(timeout);
-        let closed = async {
-            evictable.evicted().or(async { _ = timer.await }).await;
-            Ok(0)
+        let evicted = async {
+            evictable.evicted().await;
+            Ok(WaitOutcome::Evicted)
+        };
+        let timed_out = async {
+            timer.await;
+            Ok(WaitOutcome::ConnectionEnded)
+        };
+        let received = async {
+            let received = self.input.read().await?;
+            Ok(WaitOutcome::from_received_bytes(received))
         };
         // `or` polls the read first, so a request that arrives at the moment of an eviction or a
         // timeout is served.
-        let received = self.input.read().or(closed).await?;
-        Ok(WaitOutcome::from_received_bytes(received))
+        received.or(evicted).or(timed_out).await
+    }
+
+    /// Returns how a connection that was evicted has to be closed, given the time limit that applies
+    /// if a response was sent on it.
+    fn closing_after_eviction(&self, linger_time: Duration) -> Closing {
+        if self.has_responded {
+            Closing::Linger(linger_time)
+        } else {
+            Closing::Immediately
+        }
     }
 
     /// Checks for a last request in [`Phase::Closing`], when the broker closes its connections. A
@@ -165,8 +207,11 @@
 
     /// Receives a request whose first bytes have arrived. Until the connection has served a valid
     /// request, it may be evicted meanwhile.
-    async fn receive_request(&mut self) -> io::Result<ReceivedRequest> {
-        let received = with_timeout(MESSAGE_TIMEOUT, self.input.read_request());
+    async fn receive_request(&mut self) -> io::Result<ReceiveOutcome> {
+        let received = async {
+            let received = with_timeout(MESSAGE_TIMEOUT, self.input.read_request()).await?;
+            Ok(ReceiveOutcome::Received(received))
+        };
         if self.has_served {
             return received.await;
         }
@@ -175,7 +220,7 @@
             .evictable(EvictionPriority::ReceivingFirstRequest);
         let evicted = async {
             evictable.evicted().await;
-            Err(io::ErrorKind::ConnectionAborted.into())
+            Ok(ReceiveOutcome::Evicted)
         };
         received.or(evicted).await
     }
@@ -195,6 +240,7 @@
             keep_alive: request.keep_alive && is_serving,
         };
         let response = self.context.with_date(reply.response);
+        self.has_responded = true;
         write(self.stream, &encode_response(&response, options)).await?;
         self.has_served |= reply.is_valid_request;
         Ok(if options.keep_alive {
@@ -226,12 +272,12 @@
     }
 
     /// Sends the reply to a request whose end is unknown. The connection has to be closed after
-    /// that, because no further request can be read from it. Returns the time limit with which the
-    /// connection must be closed, as [`Self::serve`] does.
-    async fn close_with(&self, reply: Reply) -> io::Result<Duration> {
+    /// that, because no further request can be read from it. Returns how the connection must be
+    /// closed, as [`Self::serve`] does.
+    async fn close_with(&self, reply: Reply) -> io::Result<Closing> {
         let response = self.context.with_date(reply.response);
         write(self.stream, &encode_response(&response, CLOSING_RESPONSE)).await?;
-        Ok(LINGER)
+        Ok(Closing::Linger(LINGER))
     }
 }
 
--- a/crates/broker/src/listeners/http1/mod.rs
+++ b/crates/broker/src/listeners/http1/mod.rs
@@ -11,12 +11,12 @@
 use super::slots::{ConnectionSlots, Slot};
 use crate::net::{LINGER, linger};
 use async_io::Async;
-use connection::Http1Connection;
+use connection::{Closing, Http1Connection};
 use http1_codec::encode_response;
 use std::io::{self, Write};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// The listener for HTTP/1.1.
 pub(super) struct Http1Listener {
@@ -33,8 +33,11 @@
     /// same way as after its last response. If the error is the client's disconnection, the query
     /// has already been cancelled.
     async fn serve(self: Rc<Self>, stream: Async<TcpStream>, arrived_at: Instant, slot: Slot) {
-        let linger_time = self.serve_requests(&stream, arrived_at).await;
-        let linger_time = linger_time.unwrap_or(LINGER);
+        let closing = self.serve_requests(&stream, arrived_at).await;
+        let linger_time = match closing.unwrap_or(Closing::Linger(LINGER)) {
+            Closing::Linger(time) => time,
+            Closing::Immediately => return,
+        };
         // The connection counts as open until `_closing` is dropped. Its slot is freed for another
         // connection now, unless too many connections without a slot are already being closed.
         let _closing = slot.close();
@@ -68,13 +71,13 @@
         self.slots.close_idle();
     }
 
-    /// Serves the requests of a connection until it has to be closed. Returns the time limit with
-    /// which the caller must call [`linger`] to close it.
+    /// Serves the requests of a connection until it has to be closed. Returns how the caller must
+    /// close it.
     async fn serve_requests(
         &self,
         stream: &Async<TcpStream>,
         arrived_at: Instant,
-    ) -> io::Result<Duration> {
+    ) -> io::Result<Closing> {
         stream.get_ref().set_nodelay(true)?;
         Http1Connection::new(&self.context, &self.slots, stream, arrived_at)
             .serve()
--- a/crates/broker/src/listeners/slots.rs
+++ b/crates/broker/src/listeners/slots.rs
@@ -25,8 +25,9 @@
 const HIGH_USAGE_DIVISOR: usize = 4;
 /// Maximum time to wait for an evicted connection to free its slot before the next one is evicted.
 const EVICTION_WAIT: Duration = Duration::from_millis(5);
-/// Maximum time to wait for a slot while no connection can be evicted. The client is rejected after
-/// that, so that it can use another broker.
+/// Maximum time from the arrival of a connection until it has a slot. Its client is rejected after
+/// that, so that it can use another broker, and the connections behind it do not wait any longer. A
+/// request that waits unread has to be answered at the latest half a second after its time.
 const MAX_SLOT_WAIT: Duration = Duration::from_millis(250);
 /// Maximum number of connections that are being closed and hold no slot. They use file descriptors
 /// that are reserved for the program itself, which suffice for this many.
@@ -172,18 +173,31 @@
         (self.in_use.get() < self.capacity).then(|| self.take())
     }
 
-    /// Takes a slot. If none is free, evicts connections and waits until one is.
+    /// Takes a slot for a connection that arrived at `arrived_at`. If none is free, evicts
+    /// connections and waits until one is.
     ///
-    /// Returns `None` if no slot has become free within [`MAX_SLOT_WAIT`] and no connection can be
-    /// evicted. Further calls then return `None` without waiting, until a slot is free or a
-    /// connection can be evicted.
-    pub(super) async fn wait_for_slot(self: &Rc<Self>) -> Option<Slot> {
+    /// Returns `None` if no slot has become free within [`MAX_SLOT_WAIT`] of the arrival. Also
+    /// returns `None` if no connection can be evicted and none could be for [`MAX_SLOT_WAIT`].
+    /// Further calls then return `None` without waiting, until a slot is free or a connection can be
+    /// evicted.
+    pub(super) async fn wait_for_slot(self: &Rc<Self>, arrived_at: Instant) -> Option<Slot> {
         while self.in_use.get() >= self.capacity {
+            let waited = arrived_at.elapsed();
+            if waited >= MAX_SLOT_WAIT {
+                warn!(
+                    name: "connection_rejected", in_use = self.in_use.get(),
+                    waited_ms = waited.as_millis() as u64
+                );
+                return None;
+            }
             // A stored notification is outdated, because the slot that it reported has been taken
             // again: all slots are in use now.
             self.slot_freed.clear();
             let evicted = self.evict_one();
-            warn!(name: "connection_slots_exhausted", in_use = self.in_use.get(), evicted);
+            warn!(
+                name: "connection_slots_exhausted", in_use = self.in_use.get(), evicted,
+                waited_ms = waited.as_millis() as u64
+            );
             let exhausted_since = self.exhausted_since.get().unwrap_or_else(Instant::now);
             self.exhausted_since.set(Some(exhausted_since));
             if !evicted && exhausted_since.elapsed() >= MAX_SLOT_WAIT {
--- a/crates/broker/src/listeners/slots/tests.rs
+++ b/crates/broker/src/listeners/slots/tests.rs
@@ -52,3 +52,26 @@
     drop(dropped);
     assert!(slots.evictable.borrow().is_empty());
 }
+
+/// Guards against connections that wait unread for too long: as long as there was a connection to
+/// evict, the wait for a slot went on, even if the evicted connections kept their slots.
+#[test]
+fn wait_for_slot_ends_although_connections_can_be_evicted() {
+    // The wait has time to evict half of them.
+    let evictable = 2 * (MAX_SLOT_WAIT.as_millis() / EVICTION_WAIT.as_millis()) as usize;
+    let slots = ConnectionSlots::new(1);
+    let _slot = slots.take();
+    let evictables: Vec<_> = (0..evictable)
+        .map(|_| slots.evictable(EvictionPriority::Idle))
+        .collect();
+    let slot = async_io::block_on(slots.wait_for_slot(Instant::now()));
+    assert!(slot.is_none());
+    let evicted = evictables.iter().filter(|e| e.evicted.is_closed()).count();
+    assert!(evicted < evictable, "all connections were evicted");
+    // A connection that has waited as long in the backlog is rejected without a further eviction.
+    let arrived_at = Instant::now() - MAX_SLOT_WAIT;
+    let slot = async_io::block_on(slots.wait_for_slot(arrived_at));
+    assert!(slot.is_none());
+    let evicted_later = evictables.iter().filter(|e| e.evicted.is_closed()).count();
+    assert_eq!(evicted_later, evicted);
+}
--- a/crates/broker/src/listeners/tests.rs
+++ b/crates/broker/src/listeners/tests.rs
@@ -6,14 +6,14 @@
 use super::*;
 use crate::clock::{Clock, with_timeout};
 use crate::event_queue::{Event, EventQueue, ReceivedQuery};
-use crate::net::read_some;
+use crate::net::{LINGER, read_some};
 use async_io::Timer;
 use broker_types::query::Names;
 use fanout_policy::settings::decode;
 use futures_lite::future::yield_now;
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time for which a connection waits for a slot.
 const SLOT_WAIT: Duration = Duration::from_millis(100);
@@ -184,3 +184,36 @@
         );
     }
 }
+
+/// Guards against requests that are read too late: clients that send half a request and stay hold
+/// all slots, and one of them is evicted. No response was sent on its connection, so it must not
+/// keep its slot while it lingers, even if no more connections may linger without a slot.
+#[test]
+fn evicted_connection_with_half_a_request_frees_its_slot_at_once() {
+    let executor = Rc::new(LocalExecutor::new());
+    let events: Rc<EventQueue> = Rc::default();
+    let socket = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let address = socket.get_ref().local_addr().unwrap();
+    let listener = Http1Listener::new(context_with(events.clone(), Clock::start()), 1);
+    let listener = Listener::start(listener, socket, &executor);
+    let slots = listener.handler.slots();
+    let _closing: Vec<_> = std::iter::from_fn(|| slots.try_close_without_slot()).collect();
+    let served = async {
+        let mut stalled = TcpStream::connect(address)?;
+        stalled.write_all(b"POST /a HTTP/1.1\r\n")?;
+        while slots.try_take().is_some() {
+            yield_now().await;
+        }
+        let started_at = Instant::now();
+        let mut client = TcpStream::connect(address)?;
+        client.write_all(request().as_bytes())?;
+        next_query(&events).await;
+        Ok((started_at.elapsed(), stalled, client))
+    };
+    let (elapsed, ..) =
+        async_io::block_on(executor.run(with_timeout(TEST_TIMEOUT, served))).unwrap();
+    assert!(
+        elapsed < LINGER / 2,
+        "the request was read after {elapsed:?}"
+    );
+}
