Let unused connections linger while the broker shuts down

During the shutdown all idle connections are evicted, but none needs their slots, so they linger as before.

--- a/crates/broker/src/listeners/http1/connection.rs
+++ b/crates/broker/src/listeners/http1/connection.rs
@@ -180,10 +180,12 @@
         received.or(evicted).or(timed_out).await
     }
 
-    /// Returns how a connection that was evicted has to be closed, given the time limit that applies
-    /// if a response was sent on it.
+    /// Returns how a connection that was evicted has to be closed. If it may linger, `linger_time` is
+    /// the time limit. During the shutdown, all idle connections are evicted, but no other
+    /// connection needs their slots.
     fn closing_after_eviction(&self, linger_time: Duration) -> Closing {
-        if self.has_responded {
+        let is_shutting_down = self.context.lifecycle().phase() == Phase::Closing;
+        if self.has_responded || is_shutting_down {
             Closing::Linger(linger_time)
         } else {
             Closing::Immediately
