--- a/crates/broker/src/event_queue.rs
+++ b/crates/broker/src/event_queue.rs
@@ -73,7 +73,8 @@
 ///   the queue when its handle is dropped;
 /// - each connection to a data server has at most one [`ConnectionEvent::DataReceived`] and one
 ///   [`ConnectionEvent::Closed`] in the queue;
-/// - the watch of the endpoint list waits until its last list was removed from the queue.
+/// - the watch of the endpoint list waits until its last list was removed from the queue;
+/// - signals come from the platform, which clients and servers cannot cause to send any.
 pub struct EventQueue {
     events: RefCell<Vec<Event>>,
     /// Wakes the event loop.
--- a/crates/broker/src/upstream/connection_pool.rs
+++ b/crates/broker/src/upstream/connection_pool.rs
@@ -5,10 +5,11 @@
 //! must end.
 
 use super::assignment::Assignment;
-use super::connection::{ServerConnection, StopReason, StopResult};
+use super::connection::ServerConnection;
 use super::selection::{ConnectionSelector, Selection};
 use super::server_table::ServerTable;
 use super::socket::Connector;
+use super::stop::{StopReason, StopResult};
 use super::timeouts::ConnectionTimeouts;
 use crate::event_queue::ServerConnectionId;
 use broker_types::limits::PoolLimits;
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -13,8 +13,8 @@
 //!
 //! Two modules make decisions without state of their own: `selection` chooses the connection for a
 //! call (one frame that requests one or several parts), and `timeouts` computes how long a
-//! connection may be idle, silent or stalled. `assignment`, `attempt` and `connection_event` hold
-//! plain data types.
+//! connection may be idle, silent or stalled. `assignment`, `attempt`, `stop` and
+//! `connection_event` hold plain data types.
 //!
 //! Each socket is served by a task of its own, which appends received bytes to the connection's
 //! receive buffer and reports what happens as events in the event queue. The event loop takes the
@@ -34,6 +34,7 @@
 mod send_queue;
 mod server_table;
 mod socket;
+mod stop;
 #[cfg(test)]
 mod tests;
 mod timeouts;
--- a/crates/broker/src/upstream/pools.rs
+++ b/crates/broker/src/upstream/pools.rs
@@ -5,10 +5,10 @@
 
 use super::attempt::{AttemptOutcome, AttemptResult, EndedAttempt, OutgoingAttempt};
 use super::attempt_tracker::{AttemptTracker, Expiry};
-use super::connection::{StopReason, StopResult};
 use super::connection_event::{FrameEffect, ProtocolViolation};
 use super::connection_pool::ConnectionPool;
 use super::socket::Connector;
+use super::stop::{StopReason, StopResult};
 use crate::clock::Clock;
 use crate::event_queue::ServerConnectionId;
 use crate::event_queue::{ConnectionEvent, EventQueue};
