--- a/crates/broker/src/listeners/tests.rs
+++ b/crates/broker/src/listeners/tests.rs
@@ -7,10 +7,13 @@
 use crate::clock::{Clock, with_timeout};
 use crate::event_queue::{Event, EventQueue, ReceivedQuery};
 use crate::net::{LINGER, read_some};
+use admission::resource_limits::Http2Limits;
 use async_io::Timer;
 use broker_types::query::Names;
 use fanout_policy::settings::decode;
 use futures_lite::future::yield_now;
+use load_generator::raw_http2::{PREFACE, SETTINGS, encode_frame, query_frames};
+use std::io;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -23,8 +26,7 @@
 /// A request of a query that leaves the client a second, with its length and its body.
 fn request() -> String {
     let body = r#"{"ranges":[{"range":0,"portion":1}],"predicate":""}"#;
-    let head =
-        "POST /a HTTP/1.1\r\nHost: a\r\nX-Request-Id: b\r\nX-Tenant: acme\r\nX-Deadline: 1000m";
+    let head = "POST /lookup HTTP/1.1\r\nHost: a\r\nX-Request-Id: b\r\nX-Tenant: acme\r\nX-Deadline: 1000m";
     format!("{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
 
@@ -39,8 +41,8 @@
         serde_json::from_str(include_str!("../../../broker-types/tests/settings.json")).unwrap();
     let site = decode("settings", settings.as_object().unwrap()).unwrap();
     let names = Names {
-        classes: vec!["a".into()],
-        tenants: vec!["acme".into()],
+        classes: vec!["lookup".into()],
+        tenants: vec!["acme".into(), "public-site".into()],
         zones: Vec::new(),
     };
     ListenerContext::new(events, site.settings, names, clock)
@@ -148,39 +150,70 @@
     }
 }
 
+/// Sends `request` on a connection that waits [`SLOT_WAIT`] until a slot is free, behind
+/// `connections_before` others in the backlog. Returns how long after the request was sent its
+/// client's time starts. `listener` creates a listener with one slot.
+fn start_of_client_time<H: ConnectionHandler>(
+    listener: impl Fn(Rc<ListenerContext>) -> H,
+    connections_before: usize,
+    request: &[u8],
+) -> Duration {
+    let executor = Rc::new(LocalExecutor::new());
+    let events: Rc<EventQueue> = Rc::default();
+    let clock = Clock::start();
+    let socket = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let address = socket.get_ref().local_addr().unwrap();
+    let listener = listener(context_with(events.clone(), clock));
+    let listener = Listener::start(listener, socket, &executor);
+    let slot = listener.handler.slots().take();
+    let started = async {
+        let connect = || TcpStream::connect(address);
+        let before: io::Result<Vec<_>> = (0..connections_before).map(|_| connect()).collect();
+        let _before = before?;
+        let mut client = connect()?;
+        client.write_all(request)?;
+        let sent_at = clock.now();
+        Timer::after(SLOT_WAIT).await;
+        drop(slot);
+        let query = next_query(&events).await;
+        Ok(query.arrived_at.saturating_since(sent_at))
+    };
+    async_io::block_on(executor.run(with_timeout(TEST_TIMEOUT, started))).unwrap()
+}
+
 /// Guards against a request that gets its full time anew when it is read. Its client's time passes
 /// while the connection waits for a slot, and while it waits in the backlog because the broker makes
 /// room for the connection before it.
 #[test]
 fn time_of_a_request_that_waits_for_a_slot_starts_when_it_arrives() {
+    let request = request();
+    for connections_before in [0, 1] {
+        let http1 = |context| Http1Listener::new(context, 1);
+        let elapsed = start_of_client_time(http1, connections_before, request.as_bytes());
+        assert!(
+            elapsed < SLOT_WAIT / 2,
+            "the time started {elapsed:?} after the request was sent"
+        );
+    }
+}
+
+/// The same as the test above, over HTTP/2.
+#[test]
+fn time_of_an_http2_request_that_waits_for_a_slot_starts_when_it_arrives() {
+    let limits = Http2Limits {
+        max_connections: 1,
+        max_streams: 10,
+        connection_window: 1 << 19,
+        max_header_list: 1 << 13,
+    };
+    let settings = encode_frame(SETTINGS, 0, 0, &[]);
+    let request = [PREFACE, &settings, &query_frames(1, "b")].concat();
     for connections_before in [0, 1] {
-        let executor = Rc::new(LocalExecutor::new());
-        let events: Rc<EventQueue> = Rc::default();
-        let clock = Clock::start();
-        let socket = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
-        let address = socket.get_ref().local_addr().unwrap();
-        let listener = Http1Listener::new(context_with(events.clone(), clock), 1);
-        let listener = Listener::start(listener, socket, &executor);
-        let slot = listener.handler.slots().take();
-        let query = async {
-            let mut silent_clients = Vec::new();
-            for _ in 0..connections_before {
-                silent_clients.push(TcpStream::connect(address)?);
-            }
-            let mut client = TcpStream::connect(address)?;
-            client.write_all(request().as_bytes())?;
-            let sent_at = clock.now();
-            Timer::after(SLOT_WAIT).await;
-            drop(slot);
-            let query = next_query(&events).await;
-            Ok((sent_at, query, client, silent_clients))
-        };
-        let (sent_at, query, ..) =
-            async_io::block_on(executor.run(with_timeout(TEST_TIMEOUT, query))).unwrap();
+        let http2 = |context| Http2Listener::new(context, limits);
+        let elapsed = start_of_client_time(http2, connections_before, &request);
         assert!(
-            query.arrived_at < sent_at + SLOT_WAIT / 2,
-            "the request was sent at {sent_at:?}, but its time started at {:?}",
-            query.arrived_at
+            elapsed < SLOT_WAIT / 2,
+            "the time started {elapsed:?} after the request was sent"
         );
     }
 }
