Log a revoked value only if its query is in flight

The event part_value_revoked was also logged for queries that had been answered, for which nothing follows.

--- a/crates/broker/src/event_loop/query_processor.rs
+++ b/crates/broker/src/event_loop/query_processor.rs
@@ -106,6 +106,9 @@
     /// Fails the query of an attempt whose value can no longer be relied on. Does nothing if the
     /// query has ended before. The query cannot be rejected, because its parts may have run.
     fn fail_query_with_revoked_value(&mut self, now: Timestamp, attempt: AttemptId) {
+        if !self.queries.is_in_flight(attempt.query) {
+            return;
+        }
         warn!(name: "part_value_revoked", query = attempt.query.0, part = attempt.part.0);
         self.policy.abandon(attempt.query);
         self.finish_query(
--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -63,6 +63,11 @@
         self.queries.len()
     }
 
+    /// Returns whether a query is in flight.
+    pub(crate) fn is_in_flight(&self, id: QueryId) -> bool {
+        self.queries.contains_key(&id)
+    }
+
     /// Admits a query and returns it in the form that the policy takes. If the query cannot be
     /// admitted, sends its final response and returns `None`.
     pub(crate) fn admit(&mut self, now: Timestamp, query: ReceivedQuery) -> Option<QuerySpec> {
