--- a/crates/broker/src/listeners/context.rs
+++ b/crates/broker/src/listeners/context.rs
@@ -116,9 +116,10 @@
         })
     }
 
-    /// Submits a query that arrived at `arrived_at` immediately, before the returned future is polled.
-    /// The future waits for the query's final response. If `client_disconnected` completes first, the query is cancelled,
-    /// and the future returns the output of `client_disconnected` as an error.
+    /// Submits a query that arrived at `arrived_at` immediately, before the returned future is
+    /// polled. The future waits for the query's final response. If `client_disconnected` completes
+    /// first, the query is cancelled, and the future returns the output of `client_disconnected` as
+    /// an error.
     pub(super) fn submit<'a, E: 'a>(
         &'a self,
         connection: ConnectionId,
--- a/crates/broker/src/listeners/http2/stream.rs
+++ b/crates/broker/src/listeners/http2/stream.rs
@@ -137,8 +137,8 @@
 }
 
 /// Determines the next step for a request from its head, the result of receiving its body and the
-/// time of its arrival. The request is dropped here, so that it uses no memory while its query is processed. Returns an
-/// error if the client cancelled the stream.
+/// time of its arrival. The request is dropped here, so that it uses no memory while its query is
+/// processed. Returns an error if the client cancelled the stream.
 fn route(
     context: &ListenerContext,
     head: Parts,
