Test the parts of the review's fixes that no test had guarded

Taking out each part of the fixes in turn showed five that no test missed: a read that goes on after a full chunk, the end of a connection after a rejected frame, the rejection of a query whose time has passed, the time that the policy is told a query has waited, and connections that linger during the shutdown. Each has a test now, which fails if only its part is taken out (run for all five) and passes with it. The tests of the listeners share the start of a listener. No product code is changed.

--- a/crates/broker/src/listeners/tests.rs
+++ b/crates/broker/src/listeners/tests.rs
@@ -6,7 +6,7 @@
 use super::*;
 use crate::clock::{Clock, with_timeout};
 use crate::event_queue::{Event, EventQueue, ReceivedQuery};
-use crate::net::{LINGER, read_some};
+use crate::net::{LINGER, LINGER_IDLE, read_some};
 use admission::resource_limits::Http2Limits;
 use async_io::Timer;
 use broker_types::query::Names;
@@ -15,7 +15,7 @@
 use load_generator::raw_http2::{PREFACE, SETTINGS, encode_frame, query_frames};
 use std::io;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
 /// Time for which a connection waits for a slot.
@@ -136,6 +136,16 @@
     );
 }
 
+/// Starts a listener on a free port, and returns it with its address.
+fn start_listener<H: ConnectionHandler>(
+    handler: H,
+    executor: &Rc<LocalExecutor<'static>>,
+) -> (Listener<H>, SocketAddr) {
+    let socket = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let address = socket.get_ref().local_addr().unwrap();
+    (Listener::start(handler, socket, executor), address)
+}
+
 /// Returns the next query that a listener submits.
 async fn next_query(events: &EventQueue) -> ReceivedQuery {
     loop {
@@ -158,13 +168,10 @@
     connections_before: usize,
     request: &[u8],
 ) -> Duration {
-    let executor = Rc::new(LocalExecutor::new());
-    let events: Rc<EventQueue> = Rc::default();
+    let (executor, events) = (Rc::new(LocalExecutor::new()), Rc::<EventQueue>::default());
     let clock = Clock::start();
-    let socket = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
-    let address = socket.get_ref().local_addr().unwrap();
     let listener = listener(context_with(events.clone(), clock));
-    let listener = Listener::start(listener, socket, &executor);
+    let (listener, address) = start_listener(listener, &executor);
     let slot = listener.handler.slots().take();
     let started = async {
         let connect = || TcpStream::connect(address);
@@ -223,12 +230,9 @@
 /// keep its slot while it lingers, even if no more connections may linger without a slot.
 #[test]
 fn evicted_connection_with_half_a_request_frees_its_slot_at_once() {
-    let executor = Rc::new(LocalExecutor::new());
-    let events: Rc<EventQueue> = Rc::default();
-    let socket = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
-    let address = socket.get_ref().local_addr().unwrap();
-    let listener = Http1Listener::new(context_with(events.clone(), Clock::start()), 1);
-    let listener = Listener::start(listener, socket, &executor);
+    let (executor, events) = (Rc::new(LocalExecutor::new()), Rc::<EventQueue>::default());
+    let context = context_with(events.clone(), Clock::start());
+    let (listener, address) = start_listener(Http1Listener::new(context, 1), &executor);
     let slots = listener.handler.slots();
     let _closing: Vec<_> = std::iter::from_fn(|| slots.try_close_without_slot()).collect();
     let served = async {
@@ -250,3 +254,53 @@
         "the request was read after {elapsed:?}"
     );
 }
+
+/// Guards against a query that waits for the event loop although its client's time has passed while
+/// it waited unread: it must be rejected at once. No event loop runs here.
+#[test]
+fn query_whose_time_has_passed_is_rejected_without_the_event_loop() {
+    let (executor, events) = (Rc::new(LocalExecutor::new()), Rc::<EventQueue>::default());
+    let context = context_with(events.clone(), Clock::start());
+    let (listener, address) = start_listener(Http1Listener::new(context, 1), &executor);
+    let slot = listener.handler.slots().take();
+    let response = async {
+        let mut client = TcpStream::connect(address)?;
+        client.write_all(request().replace("1000m", "50m").as_bytes())?;
+        Timer::after(SLOT_WAIT).await;
+        drop(slot);
+        let mut response = Vec::new();
+        read_some(&Async::new(client)?, &mut response).await?;
+        Ok(response)
+    };
+    let response = async_io::block_on(executor.run(with_timeout(TEST_TIMEOUT, response))).unwrap();
+    assert!(response.starts_with(b"HTTP/1.1 503"));
+    assert!(events.drain().is_empty());
+}
+
+/// During the shutdown, bytes may arrive on an unused connection while the broker closes it. Guards
+/// against a reset: the connection must linger, because no other connection needs its slot.
+#[test]
+fn unused_connection_is_closed_without_reset_during_shutdown() {
+    let executor = Rc::new(LocalExecutor::new());
+    let context = context();
+    let (listener, address) = start_listener(Http1Listener::new(context.clone(), 1), &executor);
+    let slots = listener.handler.slots();
+    let closed = async {
+        let client = Async::new(TcpStream::connect(address)?)?;
+        while slots.try_take().is_some() {
+            yield_now().await;
+        }
+        // Lets the connection's task run until it waits for a request.
+        for _ in 0..10 {
+            yield_now().await;
+        }
+        context.lifecycle().set_phase(Phase::Closing);
+        listener.handler.close_idle();
+        assert_eq!(read_some(&client, &mut Vec::new()).await?, 0);
+        // After a reset, which follows the first write, the second one fails.
+        client.get_ref().write_all(b"P")?;
+        Timer::after(LINGER_IDLE / 5).await;
+        client.get_ref().write_all(b"O")
+    };
+    async_io::block_on(executor.run(with_timeout(TEST_TIMEOUT, closed))).unwrap();
+}
--- a/crates/broker/src/upstream/tests/responses.rs
+++ b/crates/broker/src/upstream/tests/responses.rs
@@ -1,6 +1,8 @@
 //! Invalid, surplus, late and incomplete responses.
 
+use super::super::receive_buffer::{ReceiveBudget, ReceiveBuffer};
 use super::*;
+use crate::net::READ_CHUNK_BYTES;
 
 /// Bytes of a frame whose kind is unknown.
 const UNKNOWN_KIND: &[u8] = b"\0\0\0\x02xx";
@@ -157,3 +159,30 @@
         assert_eq!(pools.open_connections(), 0);
     }
 }
+
+/// Guards against a frame that ends with a chunk and is looked at alone: one read must take all
+/// bytes that the socket holds, as they show whether the value is complete.
+#[test]
+fn one_read_takes_what_follows_a_whole_chunk() {
+    let (broker, mut server) = socket_pair();
+    let sent = vec![b'x'; READ_CHUNK_BYTES + 4];
+    server.write_all(&sent).unwrap();
+    let buffer = ReceiveBuffer::new(ReceiveBudget::new(2 * sent.len()));
+    async_io::block_on(buffer.read_from(&broker)).unwrap();
+    assert_eq!(buffer.len(), sent.len());
+}
+
+/// A server closes the connection after it has rejected a frame. Guards against a server that sends
+/// rejections without end in place of closing it.
+#[test]
+fn rejected_frame_ends_its_connection() {
+    let mut pools = TestPools::new(limits());
+    pools.send(START, attempts_of(1));
+    pools.write_frame(CONNECTION_0);
+    pools.receive(at_micros(10), CONNECTION_0, b"\0\0\0\x04rbad");
+    assert_eq!(
+        pools.take_outcomes(at_micros(20)),
+        [Outcome::ConnectionLost]
+    );
+    assert_eq!(pools.open_connections(), 0);
+}
--- a/crates/fanout-policy/tests/policy/admission.rs
+++ b/crates/fanout-policy/tests/policy/admission.rs
@@ -4,7 +4,7 @@
     Harness, SentAttempt, class, class_without_late_weight, final_responses, one_cell, rejected,
     ring, ring_with_class, sent_attempts, served,
 };
-use fanout_policy::api::{Action, Class, Ms, Outcome, Settings};
+use fanout_policy::api::{Action, Class, Event, Ms, Outcome, Settings};
 
 /// Guards against the admission of ever more queries by an aggregator whose servers answer nothing.
 /// The test reports the end of no attempt. The forecast latency of a query includes the outstanding
@@ -48,6 +48,21 @@
     assert_eq!(policy.attempts_after(5.0, events).len(), 1);
 }
 
+/// Guards against a query that counts as a retry because it has waited in the broker: 2900 ms of its
+/// client's time are left, and it has waited 600 ms, so its client set the usual 3500 ms. As a retry
+/// it would be rejected: 4000 - 2900 = 1100 ms would count towards its objective of 1000 ms.
+#[test]
+fn query_that_has_waited_does_not_count_as_a_retry() {
+    let mut policy = Harness::new(ring_with_class(class_without_late_weight()), 1);
+    policy.answer_queries(20, 3500.0);
+    let mut events = policy.query_events("waited", 0, &[0], 2900.0);
+    let Event::Query(query) = &mut events[0] else {
+        panic!("expected the arrival of the query as the first event");
+    };
+    query.waited = 600.0;
+    assert_eq!(policy.attempts_after(5.0, events).len(), 1);
+}
+
 /// Guards against an estimate of the usual client timeout that follows a single query: all queries
 /// with the usual timeout would then count as retries and be rejected.
 #[test]
