--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code)]
 mod common;
 
+mod burst;
 mod reused_id;
 
 use std::path::Path;
@@ -36,6 +37,7 @@
     });
     let result = match case.as_str() {
         "reused-id" => reused_id::run(trouble),
+        "burst" => burst::run(trouble),
         _ => Err(format!("no case {case}")),
     };
     let status = match result {
