--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 mod common;
 
 mod burst;
+mod pipeline;
 mod reused_id;
 
 use std::path::Path;
@@ -38,6 +39,7 @@
     let result = match case.as_str() {
         "reused-id" => reused_id::run(trouble),
         "burst" => burst::run(trouble),
+        "pipeline" => pipeline::run(trouble),
         _ => Err(format!("no case {case}")),
     };
     let status = match result {
