--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod burst;
 mod pipeline;
 mod reused_id;
+mod weights;
 
 use std::path::Path;
 use std::process::exit;
@@ -40,6 +41,7 @@
         "reused-id" => reused_id::run(trouble),
         "burst" => burst::run(trouble),
         "pipeline" => pipeline::run(trouble),
+        "weights" => weights::run(trouble),
         _ => Err(format!("no case {case}")),
     };
     let status = match result {
