--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod burst;
 mod pipeline;
 mod reused_id;
+mod starve;
 mod weights;
 
 use std::path::Path;
@@ -41,6 +42,7 @@
         "reused-id" => reused_id::run(trouble),
         "burst" => burst::run(trouble),
         "pipeline" => pipeline::run(trouble),
+        "starve" => starve::run(trouble),
         "weights" => weights::run(trouble),
         _ => Err(format!("no case {case}")),
     };
