--- a/review/standin-2/common.rs
+++ b/review/standin-2/common.rs
@@ -645,6 +645,12 @@
 // The broker
 
 static BROKER_PID: AtomicU64 = AtomicU64::new(0);
+static PID_FILE: OnceLock<PathBuf> = OnceLock::new();
+
+/// Sets the file that holds the id of the broker's process while it runs.
+pub fn set_pid_file(path: PathBuf) {
+    let _ = PID_FILE.set(path);
+}
 
 /// Kills the broker that runs, if any.
 pub fn kill_broker() {
@@ -722,6 +728,9 @@
             .spawn()
             .map_err(text)?;
         BROKER_PID.store(u64::from(child.id()), Ordering::SeqCst);
+        if let Some(file) = PID_FILE.get() {
+            fs::write(file, child.id().to_string()).map_err(text)?;
+        }
         let broker = Broker {
             child,
             address,
@@ -797,6 +806,9 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         BROKER_PID.store(0, Ordering::SeqCst);
+        if let Some(file) = PID_FILE.get() {
+            let _ = fs::remove_file(file);
+        }
         for line in self.log().lines() {
             record(&format!("broker's log: {line}"));
         }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -27,6 +27,7 @@
         eprintln!("record.txt: {error}");
         exit(common::NOT_RUN);
     }
+    common::set_pid_file(Path::new(folder).join("broker.pid"));
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     common::record(&format!(
         "case {case}, {} the disruption",
