Log which attempt a part and a response on a server connection belong to

The log did not say on which connection a part was sent, nor which attempt a response was taken for, so that three causes could not be told apart: the broker takes a late response for the attempt of another query, the data server mixes the queries up, or a value is stored in the wrong query. Change: part_assigned, response_received and late_response_ignored, at debug, with connection, part id, query and attempt.

--- a/crates/broker/src/upstream/connection.rs
+++ b/crates/broker/src/upstream/connection.rs
@@ -21,7 +21,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::rc::Rc;
-use tracing::warn;
+use tracing::{debug, warn};
 
 /// Order of connections by their use: first by the number of attempts in flight, then by the time
 /// of the last use. The minimum is therefore the connection that has been idle for longest, if any
@@ -120,6 +120,7 @@
     /// [`ServerConnection::send_call`].
     pub(super) fn assign(&mut self, now: Timestamp, outgoing: &OutgoingAttempt) -> Assignment {
         let wire_id = outgoing.part.wire_id.clone();
+        self.log_assigned(outgoing);
         self.last_used = now;
         self.in_flight.insert(wire_id.clone(), outgoing.attempt);
         Assignment::new(self.id, wire_id, now)
@@ -250,8 +251,10 @@
                 return ProtocolViolation::IncompleteValue.into();
             }
             self.unconfirmed = (response.outcome == Outcome::Served).then_some(attempt);
+            self.log_response(&response, attempt);
             FrameEffect::EndAttempt { attempt, response }
         } else if self.cancelled.remove(&response.id) {
+            self.log_late_response(&response);
             FrameEffect::Continue
         } else {
             ProtocolViolation::UnexpectedResponse.into()
@@ -280,6 +283,32 @@
         FrameEffect::AwaitData
     }
 
+    /// Logs which attempt a part that is sent on this connection belongs to.
+    fn log_assigned(&self, outgoing: &OutgoingAttempt) {
+        let attempt = outgoing.attempt;
+        debug!(
+            name: "part_assigned", server_connection = self.id.0, server = %self.server.0,
+            part_id = %outgoing.part.wire_id, query = attempt.query.0, attempt = attempt.attempt
+        );
+    }
+
+    /// Logs which attempt a response was taken for.
+    fn log_response(&self, response: &PartResponse, attempt: AttemptId) {
+        debug!(
+            name: "response_received", server_connection = self.id.0, server = %self.server.0,
+            part_id = %response.id, outcome = ?response.outcome, query = attempt.query.0,
+            attempt = attempt.attempt
+        );
+    }
+
+    /// Logs that a response to a cancelled part was ignored.
+    fn log_late_response(&self, response: &PartResponse) {
+        debug!(
+            name: "late_response_ignored", server_connection = self.id.0,
+            server = %self.server.0, part_id = %response.id, outcome = ?response.outcome
+        );
+    }
+
     /// Logs that the connection was closed or could not be opened, if attempts are in flight.
     pub(super) fn log_loss(&self, reason: &io::Error) {
         if !self.is_idle() {
