Let an id name one part at a time on a server connection

Seen: a response names its part by request id and shard. A retry on the connection of a cancelled attempt at the same part was ended by the late response to that attempt, and a second attempt in flight replaced the first one. Cause: the attempts in flight and the cancelled parts of a connection were kept apart, and nothing kept an id from being in both, from being assigned twice, or from being forgotten while its response was outstanding. Change: OutstandingParts keeps each id from the assignment of its part until the response has arrived or the part was withdrawn. A part whose id is outstanding goes to another connection, in a call of its own.

--- a/crates/broker/src/queries/client_query.rs
+++ b/crates/broker/src/queries/client_query.rs
@@ -88,7 +88,7 @@
             attempt,
             server,
             part: OutgoingPart {
-                wire_id: format!("{}.{shard}", self.request.id),
+                wire_id: format!("{}.{shard}", self.request.id).into(),
                 shard,
                 deadline,
                 send_before,
--- a/crates/broker/src/upstream/assignment.rs
+++ b/crates/broker/src/upstream/assignment.rs
@@ -2,19 +2,20 @@
 
 use crate::event_queue::ServerConnectionId;
 use broker_types::time::Timestamp;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// The assignment of an attempt to a connection.
 pub(super) struct Assignment {
     connection: ServerConnectionId,
     /// Id of the attempt's part in the frames of the connection.
-    wire_id: String,
+    wire_id: Rc<str>,
     assigned_at: Timestamp,
 }
 
 impl Assignment {
     /// Creates the assignment of an attempt to `connection`, made at the time `now`.
-    pub(super) fn new(connection: ServerConnectionId, wire_id: String, now: Timestamp) -> Self {
+    pub(super) fn new(connection: ServerConnectionId, wire_id: Rc<str>, now: Timestamp) -> Self {
         Assignment {
             connection,
             wire_id,
@@ -28,7 +29,7 @@
     }
 
     /// Returns the id of the attempt's part in the frames of the connection.
-    pub(super) fn wire_id(&self) -> &str {
+    pub(super) fn wire_id(&self) -> &Rc<str> {
         &self.wire_id
     }
 
--- a/crates/broker/src/upstream/attempt.rs
+++ b/crates/broker/src/upstream/attempt.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug)]
 pub struct OutgoingPart {
     /// Id of the part in the frames of its connection.
-    pub wire_id: String,
+    pub wire_id: Rc<str>,
     /// Index of the shard that the part reads.
     pub shard: usize,
     /// Time until which the broker waits for the response. The frame contains the time that is left
--- a/crates/broker/src/upstream/connection.rs
+++ b/crates/broker/src/upstream/connection.rs
@@ -5,8 +5,8 @@
 
 use super::assignment::Assignment;
 use super::attempt::{AttemptOutcome, OutgoingAttempt, OutgoingPart};
-use super::cancelled_parts::CancelledParts;
 use super::connection_event::{FrameEffect, ProtocolViolation};
+use super::outstanding_parts::OutstandingParts;
 use super::receive_buffer::{ReceiveBuffer, ReceivedMessage};
 use super::receive_progress::ReceiveProgress;
 use super::send_queue::{OutgoingFrame, SendQueue};
@@ -18,7 +18,7 @@
 use broker_types::server::{NodeId, Outcome};
 use broker_types::time::Timestamp;
 use server_protocol::broker::{PartResponse, ServerMessage};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::io;
 use std::rc::Rc;
 use tracing::{debug, warn};
@@ -38,9 +38,7 @@
     server: NodeId,
     /// Handle of the socket. Dropping it closes the socket.
     socket: SocketHandle,
-    /// Attempts in flight on this connection, by the id of their part in its frames.
-    in_flight: BTreeMap<String, AttemptId>,
-    cancelled: CancelledParts,
+    outstanding: OutstandingParts,
     /// Attempt that was served by the last received frame. Its value is confirmed when the next
     /// frame starts directly behind that frame.
     unconfirmed: Option<AttemptId>,
@@ -63,8 +61,7 @@
             id,
             server,
             socket,
-            in_flight: BTreeMap::new(),
-            cancelled: CancelledParts::default(),
+            outstanding: OutstandingParts::default(),
             unconfirmed: None,
             progress: ReceiveProgress::new(now),
             last_used: now,
@@ -94,36 +91,51 @@
 
     /// Returns whether no attempt is in flight.
     pub(super) fn is_idle(&self) -> bool {
-        self.in_flight.is_empty()
+        self.outstanding.in_flight() == 0
     }
 
     /// Returns the key by which connections are ordered from the least to the most used.
     pub(super) fn usage(&self) -> ConnectionUsage {
         ConnectionUsage {
-            in_flight: self.in_flight.len(),
+            in_flight: self.outstanding.in_flight(),
             last_used: self.last_used,
         }
     }
 
-    /// Returns whether the connection is not draining and `parts` more parts may be sent on it if
-    /// at most `max_in_flight` parts may be in flight.
-    pub(super) fn has_capacity(&self, parts: usize, max_in_flight: usize) -> bool {
-        !self.is_draining && self.in_flight.len() + parts <= max_in_flight
+    /// Returns whether the parts of a call may be sent on this connection if at most
+    /// `max_in_flight` parts may be in flight: it is not draining, and no response to a part with
+    /// the id of one of these parts is outstanding.
+    pub(super) fn accepts(&self, call: &[OutgoingAttempt], max_in_flight: usize) -> bool {
+        !self.is_draining
+            && self.outstanding.in_flight() + call.len() <= max_in_flight
+            && !call.iter().any(|part| self.is_outstanding(part))
+    }
+
+    /// Returns whether a response to a part with the id of this attempt's part is outstanding.
+    pub(super) fn is_outstanding(&self, outgoing: &OutgoingAttempt) -> bool {
+        self.outstanding.contains(&outgoing.part.wire_id)
     }
 
     /// Returns the attempts in flight, ordered by the ids of their parts in the frames.
     pub(super) fn attempts(&self) -> impl Iterator<Item = AttemptId> {
-        self.in_flight.values().copied()
+        self.outstanding.attempts()
     }
 
     /// Assigns an attempt to this connection. The caller sends its part with
-    /// [`ServerConnection::send_call`].
-    pub(super) fn assign(&mut self, now: Timestamp, outgoing: &OutgoingAttempt) -> Assignment {
-        let wire_id = outgoing.part.wire_id.clone();
+    /// [`ServerConnection::send_call`]. Returns `None` if a response to a part with the same id is
+    /// outstanding.
+    pub(super) fn try_assign(
+        &mut self,
+        now: Timestamp,
+        outgoing: &OutgoingAttempt,
+    ) -> Option<Assignment> {
+        if !self.outstanding.try_insert(outgoing) {
+            return None;
+        }
         self.log_assigned(outgoing);
         self.last_used = now;
-        self.in_flight.insert(wire_id.clone(), outgoing.attempt);
-        Assignment::new(self.id, wire_id, now)
+        let wire_id = outgoing.part.wire_id.clone();
+        Some(Assignment::new(self.id, wire_id, now))
     }
 
     /// Queues one call with these parts to be written.
@@ -131,9 +143,10 @@
         self.send_queue().push(OutgoingFrame::Call(parts));
     }
 
-    /// Removes an ended attempt from the attempts in flight.
+    /// Removes an ended attempt from the attempts in flight. Its part stays outstanding if it was
+    /// cancelled after any byte of it was written.
     pub(super) fn release(&mut self, now: Timestamp, assignment: &Assignment) {
-        self.in_flight.remove(assignment.wire_id());
+        self.outstanding.remove_in_flight(assignment.wire_id());
         self.last_used = now;
     }
 
@@ -144,7 +157,7 @@
         let withdrawn = self.send_queue().withdraw_all();
         withdrawn
             .iter()
-            .filter_map(|wire_id| self.in_flight.get(wire_id).copied())
+            .filter_map(|wire_id| self.outstanding.attempt(wire_id))
             .collect()
     }
 
@@ -158,7 +171,8 @@
     /// server if any byte of it was written. The caller ends the attempt.
     ///
     /// Starts to drain the connection if the attempt was assigned at least the maximum silence ago
-    /// and nothing was received since then: the link to the server may be severed.
+    /// and nothing was received since then: the link to the server may be severed. Also starts to
+    /// drain it if too many cancelled parts have no response.
     pub(super) fn stop_waiting(
         &mut self,
         now: Timestamp,
@@ -169,13 +183,13 @@
         if self.try_withdraw(assignment) {
             return self.result_of_withdrawn(reason);
         }
-        let wire_id = assignment.wire_id().to_owned();
-        self.cancelled.insert(wire_id.clone());
-        self.socket
-            .send_queue()
-            .push(OutgoingFrame::Cancel(wire_id));
-        let is_silent = self.progress.is_silent_since(assignment.assigned_at());
-        if is_silent && assignment.elapsed(now) >= timeouts.max_silence() {
+        let wire_id = assignment.wire_id();
+        self.outstanding.cancel(wire_id);
+        self.send_queue()
+            .push(OutgoingFrame::Cancel(wire_id.clone()));
+        let is_silent = self.progress.is_silent_since(assignment.assigned_at())
+            && assignment.elapsed(now) >= timeouts.max_silence();
+        if is_silent || self.outstanding.has_max_cancelled() {
             self.is_draining = true;
         }
         // A blocked socket does not pass the cancellation on to the server.
@@ -246,14 +260,14 @@
     /// A response whose value may be incomplete is not used. The server may have sent a complete one
     /// and text behind it that does not belong to it, but the broker cannot tell the difference.
     fn on_response(&mut self, response: PartResponse, may_be_incomplete: bool) -> FrameEffect {
-        if let Some(&attempt) = self.in_flight.get(&response.id) {
+        if let Some(attempt) = self.outstanding.attempt(&response.id) {
             if may_be_incomplete {
                 return ProtocolViolation::IncompleteValue.into();
             }
             self.unconfirmed = (response.outcome == Outcome::Served).then_some(attempt);
             self.log_response(&response, attempt);
             FrameEffect::EndAttempt { attempt, response }
-        } else if self.cancelled.remove(&response.id) {
+        } else if self.outstanding.remove_cancelled(&response.id) {
             self.log_late_response(&response);
             FrameEffect::Continue
         } else {
@@ -276,7 +290,7 @@
         if self.receive_buffer().is_empty() {
             return FrameEffect::AwaitData;
         }
-        if self.is_idle() && self.cancelled.is_empty() {
+        if self.outstanding.is_empty() {
             return ProtocolViolation::UnsolicitedData.into();
         }
         self.progress.on_partial_frame(now);
@@ -314,7 +328,7 @@
         if !self.is_idle() {
             warn!(
                 name: "server_connection_lost", server = %self.server.0,
-                error = %reason, in_flight = self.in_flight.len()
+                error = %reason, in_flight = self.outstanding.in_flight()
             );
         }
     }
@@ -323,7 +337,7 @@
     pub(super) fn log_violation(&self, violation: ProtocolViolation) {
         warn!(
             name: "server_frame_invalid", server = %self.server.0, error = %violation,
-            in_flight = self.in_flight.len()
+            in_flight = self.outstanding.in_flight()
         );
     }
 
@@ -383,7 +397,7 @@
         let unwritten = self.send_queue().unwritten_parts();
         let wire_ids = unwritten.iter();
         wire_ids
-            .filter_map(|wire_id| self.in_flight.get(wire_id).copied())
+            .filter_map(|wire_id| self.outstanding.attempt(wire_id))
             .collect()
     }
 
--- a/crates/broker/src/upstream/connection_pool.rs
+++ b/crates/broker/src/upstream/connection_pool.rs
@@ -5,6 +5,7 @@
 //! must end.
 
 use super::assignment::Assignment;
+use super::attempt::OutgoingAttempt;
 use super::connection::ServerConnection;
 use super::selection::{ConnectionSelector, Selection};
 use super::server_table::ServerTable;
@@ -81,17 +82,17 @@
         self.connections.get_mut(&id)
     }
 
-    /// Returns a connection with capacity for a call with `parts` parts, and opens one if needed.
-    /// Returns `None` if the server accepts no attempts, or if the limit of connections is reached
-    /// and none of them is idle.
+    /// Returns a connection that accepts a call with the parts of these attempts, and opens one if
+    /// needed. Returns `None` if the server accepts no attempts, or if the limit of connections is
+    /// reached and none of them is idle.
     pub(super) fn acquire(
         &mut self,
         now: Timestamp,
         server: &NodeId,
-        parts: usize,
+        call: &[OutgoingAttempt],
     ) -> Option<&mut ServerConnection> {
         let selector = ConnectionSelector::new(&self.limits, &self.servers, &self.connections);
-        let id = match selector.select(server, parts) {
+        let id = match selector.select(server, call) {
             Selection::Existing(id) => id,
             Selection::Open(address) => self.open(now, server, address),
             Selection::EvictAndOpen { evicted, address } => {
@@ -110,6 +111,15 @@
         self.connections.get_mut(&id)
     }
 
+    /// Returns whether a response to a part with the id of this attempt's part is outstanding on a
+    /// connection to the attempt's server.
+    pub(super) fn is_outstanding(&self, outgoing: &OutgoingAttempt) -> bool {
+        self.servers
+            .connections_to(&outgoing.server)
+            .filter_map(|id| self.connections.get(&id))
+            .any(|connection| connection.is_outstanding(outgoing))
+    }
+
     /// Starts to open a connection and returns its id.
     fn open(&mut self, now: Timestamp, server: &NodeId, address: SocketAddr) -> ServerConnectionId {
         let id = ServerConnectionId(self.next_id);
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -8,7 +8,7 @@
 //! - `server_table` owns the servers' addresses and records which connections lead to each server.
 //! - `connection` owns the parts in flight on one connection and decides on the outcomes of its
 //!   attempts. It is composed of `receive_progress` (when anything was last received),
-//!   `cancelled_parts` (parts whose responses may still arrive), `send_queue` (frames to be
+//!   `outstanding_parts` (parts whose responses may still arrive), `send_queue` (frames to be
 //!   written), `receive_buffer` (received bytes) and `socket`.
 //!
 //! Two modules make decisions without state of their own: `selection` chooses the connection for a
@@ -23,10 +23,10 @@
 mod assignment;
 mod attempt;
 mod attempt_tracker;
-mod cancelled_parts;
 mod connection;
 mod connection_event;
 mod connection_pool;
+mod outstanding_parts;
 mod pools;
 mod receive_buffer;
 mod receive_progress;
--- a/crates/broker/src/upstream/pools.rs
+++ b/crates/broker/src/upstream/pools.rs
@@ -17,7 +17,7 @@
 use broker_types::query::{AttemptId, PartIndex, QueryId};
 use broker_types::server::{NodeId, Outcome};
 use broker_types::time::Timestamp;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -71,39 +71,63 @@
     }
 
     /// Sends the attempts of one event loop iteration. Attempts for the same server are combined
-    /// into calls.
+    /// into calls. An attempt at a part whose id is outstanding at the server is sent in a call of
+    /// its own, because it needs another connection.
     pub fn send_attempts(&mut self, now: Timestamp, attempts: Vec<OutgoingAttempt>) {
         let mut by_server: BTreeMap<NodeId, Vec<OutgoingAttempt>> = BTreeMap::new();
         for attempt in attempts {
             let server = attempt.server.clone();
             by_server.entry(server).or_default().push(attempt);
         }
-        for (server, mut attempts) in by_server {
+        for (server, attempts) in by_server {
+            let (mut attempts, repeated) = self.separate_outstanding(attempts);
             while !attempts.is_empty() {
                 let call_len = attempts.len().min(self.max_parts_per_call);
                 let rest = attempts.split_off(call_len);
                 self.send_call(now, &server, attempts);
                 attempts = rest;
             }
+            for attempt in repeated {
+                self.send_call(now, &server, vec![attempt]);
+            }
         }
     }
 
+    /// Separates the attempts for one server into those at parts whose ids are not outstanding
+    /// there and the others. Of several attempts at the same part, only the first is not
+    /// outstanding.
+    fn separate_outstanding(
+        &self,
+        attempts: Vec<OutgoingAttempt>,
+    ) -> (Vec<OutgoingAttempt>, Vec<OutgoingAttempt>) {
+        let mut wire_ids = BTreeSet::new();
+        attempts.into_iter().partition(|outgoing| {
+            wire_ids.insert(outgoing.part.wire_id.clone())
+                && !self.connections.is_outstanding(outgoing)
+        })
+    }
+
     /// Sends attempts to one server in one call. If no connection is available, they end
     /// immediately as unreachable.
     fn send_call(&mut self, now: Timestamp, server: &NodeId, attempts: Vec<OutgoingAttempt>) {
-        let Some(connection) = self.connections.acquire(now, server, attempts.len()) else {
+        let Some(connection) = self.connections.acquire(now, server, &attempts) else {
             for outgoing in attempts {
                 self.attempts
                     .end_unassigned(outgoing.attempt, Outcome::Unreachable);
             }
             return;
         };
-        for outgoing in &attempts {
-            let assignment = connection.assign(now, outgoing);
-            self.attempts.track(outgoing, assignment);
+        let mut parts = Vec::with_capacity(attempts.len());
+        for outgoing in attempts {
+            if let Some(assignment) = connection.try_assign(now, &outgoing) {
+                self.attempts.track(&outgoing, assignment);
+                parts.push(outgoing.part);
+            } else {
+                self.attempts
+                    .end_unassigned(outgoing.attempt, Outcome::NotSent);
+            }
         }
-        let parts = attempts.into_iter().map(|outgoing| outgoing.part);
-        connection.send_call(parts.collect());
+        connection.send_call(parts);
     }
 
     /// Cancels an attempt, also on the server if any byte of its part was written.
--- a/crates/broker/src/upstream/selection.rs
+++ b/crates/broker/src/upstream/selection.rs
@@ -1,5 +1,6 @@
 //! Selection of the connection that a call is sent on.
 
+use super::attempt::OutgoingAttempt;
 use super::connection::ServerConnection;
 use super::server_table::ServerTable;
 use crate::event_queue::ServerConnectionId;
@@ -52,20 +53,20 @@
         }
     }
 
-    /// Selects a connection with capacity for a call with `parts` parts.
+    /// Selects a connection that accepts a call with the parts of these attempts.
     ///
     /// Among the connections to the server, prefers the one that has been idle for longest. A
     /// server may close a connection right after its response, and an attempt that is sent at that
     /// moment ends with a connection reset; this is least likely on the connection that has been
     /// idle for longest. If none is idle, selects a new connection if calls may be spread over a
-    /// further one, and otherwise the connection with the fewest attempts in flight. If none has
-    /// capacity, selects a new connection; if the limit of connections to all servers is reached,
+    /// further one, and otherwise the connection with the fewest attempts in flight. If none accepts
+    /// the call, selects a new connection; if the limit of connections to all servers is reached,
     /// an idle connection must be closed first.
-    pub(super) fn select(&self, server: &NodeId, parts: usize) -> Selection {
+    pub(super) fn select(&self, server: &NodeId, call: &[OutgoingAttempt]) -> Selection {
         let Some(address) = self.servers.endpoint(server) else {
             return Selection::NotServing;
         };
-        if let Some(connection) = self.least_used(server, parts)
+        if let Some(connection) = self.least_used(server, call)
             && (connection.is_idle() || !self.may_open_to_spread(server))
         {
             return Selection::Existing(connection.id());
@@ -79,14 +80,14 @@
         }
     }
 
-    /// Returns the least used connection to a server among those with capacity for `parts` more
-    /// parts, or `None` if none has the capacity.
-    fn least_used(&self, server: &NodeId, parts: usize) -> Option<&ServerConnection> {
+    /// Returns the least used connection to a server among those that accept a call, or `None` if
+    /// none accepts it.
+    fn least_used(&self, server: &NodeId, call: &[OutgoingAttempt]) -> Option<&ServerConnection> {
         let max_in_flight = self.limits.max_parts_per_connection;
         self.servers
             .connections_to(server)
             .filter_map(|id| self.connections.get(&id))
-            .filter(|connection| connection.has_capacity(parts, max_in_flight))
+            .filter(|connection| connection.accepts(call, max_in_flight))
             .min_by_key(|connection| connection.usage())
     }
 
--- a/crates/broker/src/upstream/send_queue.rs
+++ b/crates/broker/src/upstream/send_queue.rs
@@ -6,6 +6,7 @@
 use server_protocol::broker::{PartRequest, encode_call, encode_cancel};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Minimum time that must be left until a part's deadline when the part is sent. A frame contains
@@ -17,7 +18,7 @@
     /// A call with these parts.
     Call(Vec<OutgoingPart>),
     /// The cancellation of the part with this id.
-    Cancel(String),
+    Cancel(Rc<str>),
 }
 
 impl OutgoingFrame {
@@ -66,14 +67,15 @@
 }
 
 /// Queue of the frames to be written to one connection. A part can be withdrawn until the socket
-/// has accepted the first byte of its frame. The length of the queue is bounded by the maximum
+/// has accepted the first byte of its frame. An id names one part, because no part is assigned to the
+/// connection while another one with its id is outstanding. The length of the queue is bounded by the maximum
 /// number of attempts in flight on the connection.
 pub(super) struct SendQueue {
     frames: RefCell<VecDeque<OutgoingFrame>>,
     /// Ids of the parts that expired before they were written and have not been withdrawn yet.
-    expired: RefCell<BTreeSet<String>>,
+    expired: RefCell<BTreeSet<Rc<str>>>,
     /// Ids of the parts of the frame that is being written. `None` if no frame is being written.
-    writing: RefCell<Option<Vec<String>>>,
+    writing: RefCell<Option<Vec<Rc<str>>>>,
     /// Whether the socket accepts no data at present.
     is_socket_full: Cell<bool>,
     /// Whether the connection was ever established.
@@ -113,7 +115,7 @@
                 return true;
             };
             let parts_before = parts.len();
-            parts.retain(|part| part.wire_id != wire_id);
+            parts.retain(|part| *part.wire_id != *wire_id);
             is_withdrawn |= parts.len() < parts_before;
             !parts.is_empty()
         });
@@ -121,9 +123,9 @@
     }
 
     /// Removes all parts of which no byte was written and returns their ids.
-    pub(super) fn withdraw_all(&self) -> Vec<String> {
+    pub(super) fn withdraw_all(&self) -> Vec<Rc<str>> {
         let expired = std::mem::take(&mut *self.expired.borrow_mut());
-        let mut withdrawn: Vec<String> = expired.into_iter().collect();
+        let mut withdrawn: Vec<Rc<str>> = expired.into_iter().collect();
         self.frames.borrow_mut().retain_mut(|frame| {
             let OutgoingFrame::Call(parts) = frame else {
                 return true;
@@ -135,7 +137,7 @@
     }
 
     /// Returns the ids of the parts whose frames were not written completely.
-    pub(super) fn unwritten_parts(&self) -> BTreeSet<String> {
+    pub(super) fn unwritten_parts(&self) -> BTreeSet<Rc<str>> {
         let frames = self.frames.borrow();
         let queued = frames.iter().flat_map(OutgoingFrame::parts);
         let (writing, expired) = (self.writing.borrow(), self.expired.borrow());
--- a/crates/broker/src/upstream/tests/mod.rs
+++ b/crates/broker/src/upstream/tests/mod.rs
@@ -6,6 +6,7 @@
 mod deadlines;
 mod endless_responses;
 mod failures;
+mod part_ids;
 mod responses;
 mod send_queue;
 
@@ -233,9 +234,10 @@
     }
 }
 
-/// Builder of the first attempts at the parts of a query.
+/// Builder of attempts at the parts of a query, by default the first ones.
 struct Attempts {
     query: u64,
+    attempt: u32,
     parts: usize,
     server: NodeId,
     deadline: Timestamp,
@@ -247,6 +249,7 @@
 fn attempts_of(query: u64) -> Attempts {
     Attempts {
         query,
+        attempt: 0,
         parts: 1,
         server: server(),
         deadline: at(SECOND),
@@ -260,6 +263,11 @@
         Attempts { parts, ..self }
     }
 
+    /// Builds attempts with this number, which are retries or hedged requests if it is not 0.
+    fn number(self, attempt: u32) -> Self {
+        Attempts { attempt, ..self }
+    }
+
     fn on_server(self, name: &NodeId) -> Self {
         let server = name.clone();
         Attempts { server, ..self }
@@ -280,7 +288,10 @@
     fn build(self) -> Vec<OutgoingAttempt> {
         let query = self.query;
         let outgoing = |part| OutgoingAttempt {
-            attempt: attempt(query, part),
+            attempt: AttemptId {
+                attempt: self.attempt,
+                ..attempt(query, part)
+            },
             server: self.server.clone(),
             part: OutgoingPart {
                 shard: part,
@@ -294,7 +305,7 @@
 
 fn outgoing_part(wire_id: &str, deadline: Timestamp) -> OutgoingPart {
     OutgoingPart {
-        wire_id: wire_id.to_owned(),
+        wire_id: wire_id.into(),
         shard: 0,
         deadline,
         send_before: None,
