Keep a request id in use until no frame of its parts is outstanding

Cause: a part's id, request id and shard, is all that says to which query a response or a cancellation belongs, and a request id was free as soon as its query had ended, although its parts were still at data servers. Change: the query and each of its parts on a connection hold a lease of the request id, until the response has arrived, the part was withdrawn or the connection is closed. request_id_repeated logs a request whose id is in use.

--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -15,4 +15,5 @@
 mod notify;
 pub mod operator;
 mod queries;
+mod request_ids;
 pub mod upstream;
--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -72,11 +72,14 @@
     /// admitted, sends its final response and returns `None`.
     pub(crate) fn admit(&mut self, now: Timestamp, query: ReceivedQuery) -> Option<QuerySpec> {
         let deadline = query.arrived_at + query.request.client_timeout;
-        if let Err(response) = self.reservations.reserve(now, &query, deadline) {
-            // Sending fails if the client has disconnected.
-            let _ = query.reply.try_send(response);
-            return None;
-        }
+        let request_id = match self.reservations.reserve(now, &query, deadline) {
+            Ok(request_id) => request_id,
+            Err(response) => {
+                // Sending fails if the client has disconnected.
+                let _ = query.reply.try_send(response);
+                return None;
+            }
+        };
         let request = &query.request;
         let spec = QuerySpec {
             id: query.id,
@@ -87,7 +90,8 @@
             is_retry: request.is_retry,
             parts: request.parts.clone(),
         };
-        self.queries.insert(query.id, ClientQuery::new(query));
+        self.queries
+            .insert(query.id, ClientQuery::new(query, request_id));
         Some(spec)
     }
 
--- a/crates/broker/src/queries/client_query.rs
+++ b/crates/broker/src/queries/client_query.rs
@@ -3,6 +3,7 @@
 
 use super::attempt_log::AttemptLog;
 use crate::event_queue::ReceivedQuery;
+use crate::request_ids::RequestIdLease;
 use crate::upstream::{EndedAttempt, OutgoingAttempt, OutgoingPart};
 use admission::ConnectionId;
 use async_channel::Sender;
@@ -18,6 +19,8 @@
 pub(super) struct ClientQuery {
     connection: ConnectionId,
     request: QueryRequest,
+    /// Keeps the request id in use.
+    request_id: RequestIdLease,
     reply: Sender<FinalResponse>,
     /// The values received so far, by index of the part; `None` for a part without a value.
     values: Vec<Option<String>>,
@@ -27,8 +30,9 @@
 }
 
 impl ClientQuery {
-    /// Creates a query in flight from a received query that has just been admitted.
-    pub(super) fn new(received: ReceivedQuery) -> Self {
+    /// Creates a query in flight from a received query that has just been admitted and holds the
+    /// lease of its request id.
+    pub(super) fn new(received: ReceivedQuery, request_id: RequestIdLease) -> Self {
         let ReceivedQuery {
             id,
             connection,
@@ -44,6 +48,7 @@
             connection,
             values: vec![None; request.parts.len()],
             request,
+            request_id,
             reply,
             arrived_at,
             attempts: AttemptLog::default(),
@@ -95,6 +100,7 @@
                 idempotency_key: self.request.idempotency_key.clone(),
                 text: self.request.payload.clone(),
             },
+            request_id: self.request_id.clone(),
         }
     }
 
--- a/crates/broker/src/queries/reservations.rs
+++ b/crates/broker/src/queries/reservations.rs
@@ -6,6 +6,7 @@
 
 use super::idempotency_guard::{IdempotencyGuard, RepetitionForbidden};
 use crate::event_queue::ReceivedQuery;
+use crate::request_ids::{RequestIdLease, RequestIds};
 use admission::{ConnectionId, ConnectionQuota};
 use broker_types::query::{AttemptId, FinalResponse, QueryRequest};
 use broker_types::server::Outcome;
@@ -13,8 +14,6 @@
 use fanout_policy::api::Settings;
 use idempotency::{KeyAdmission, QueryEnd};
 use policy_engine::Dispatch;
-use std::collections::BTreeSet;
-use std::rc::Rc;
 use std::time::Duration;
 use tracing::info;
 
@@ -23,9 +22,7 @@
 
 /// The reservations of all queries in flight.
 pub(super) struct QueryReservations {
-    /// Request ids of the queries in flight. The id of a part in a frame to a data server consists
-    /// of the request id and the shard, so two queries in flight must not have the same request id.
-    request_ids: BTreeSet<Rc<str>>,
+    request_ids: RequestIds,
     quota: ConnectionQuota,
     idempotency: IdempotencyGuard,
     /// Maximum retry-after time that a client is given; `None` if responses contain no such time.
@@ -37,7 +34,7 @@
     /// number of queries in flight and the number of their parts.
     pub(super) fn new(settings: &Settings, capacity: usize) -> Self {
         QueryReservations {
-            request_ids: BTreeSet::new(),
+            request_ids: RequestIds::default(),
             quota: ConnectionQuota::new(capacity),
             idempotency: IdempotencyGuard::new(settings),
             max_retry_after: settings.max_retry_after.map(millis),
@@ -45,7 +42,8 @@
     }
 
     /// Reserves the query's request id, its idempotency key and its units of the connection's
-    /// quota: one for the query itself and one for each of its parts.
+    /// quota: one for the query itself and one for each of its parts. Returns the lease of the
+    /// request id, which the query and its outstanding parts hold.
     ///
     /// # Errors
     ///
@@ -56,21 +54,19 @@
         now: Timestamp,
         query: &ReceivedQuery,
         deadline: Timestamp,
-    ) -> Result<(), FinalResponse> {
+    ) -> Result<RequestIdLease, FinalResponse> {
         let request = &query.request;
-        if self.request_ids.contains(&request.id) {
-            return Err(duplicate_request_id());
-        }
+        let request_id = self.reserve_request_id(query)?;
         self.reserve_quota(query)?;
         if let Err(response) = self.reserve_idempotency_key(now, query, deadline) {
             self.quota.release(query.connection, quota_units(request));
             return Err(response);
         }
-        self.request_ids.insert(request.id.clone());
-        Ok(())
+        Ok(request_id)
     }
 
-    /// Releases the reservations of a query that has ended.
+    /// Releases the reservations of a query that has ended, except its request id: that is in use
+    /// until the lease of the query and those of its outstanding parts are dropped.
     pub(super) fn release(
         &mut self,
         now: Timestamp,
@@ -78,7 +74,6 @@
         request: &QueryRequest,
         end: QueryEnd,
     ) {
-        self.request_ids.remove(&request.id);
         self.quota.release(connection, quota_units(request));
         if let Some(key) = &request.idempotency_key {
             self.idempotency.on_query_ended(now, key, end);
@@ -118,6 +113,15 @@
         self.idempotency.on_attempt_ended(now, attempt, outcome);
     }
 
+    /// Puts the query's request id in use.
+    fn reserve_request_id(&self, query: &ReceivedQuery) -> Result<RequestIdLease, FinalResponse> {
+        let id = &query.request.id;
+        self.request_ids.try_acquire(id).ok_or_else(|| {
+            info!(name: "request_id_repeated", connection = query.connection.0, id = %id);
+            duplicate_request_id()
+        })
+    }
+
     /// Acquires the units that the query needs of its connection's quota.
     fn reserve_quota(&mut self, query: &ReceivedQuery) -> Result<(), FinalResponse> {
         let units = quota_units(&query.request);
@@ -167,8 +171,8 @@
     }
 }
 
-/// Returns the response to a request whose id is that of a query in flight. The request is invalid
-/// because the parts of both queries would have the same ids in the frames to data servers.
+/// Returns the response to a request whose id is in use. The request is invalid because the parts of
+/// both queries would have the same ids in the frames to and from data servers.
 fn duplicate_request_id() -> FinalResponse {
     FinalResponse::Invalid {
         status: BAD_REQUEST,
--- a/crates/broker/src/upstream/attempt.rs
+++ b/crates/broker/src/upstream/attempt.rs
@@ -1,5 +1,6 @@
 //! Data types for an attempt that is to be sent, for its result, and for an attempt that has ended.
 
+use crate::request_ids::RequestIdLease;
 use broker_types::query::AttemptId;
 use broker_types::server::{NodeId, Outcome};
 use broker_types::time::Timestamp;
@@ -16,6 +17,8 @@
     pub server: NodeId,
     /// Part that the attempt requests.
     pub part: OutgoingPart,
+    /// Keeps the request id of the attempt's query in use.
+    pub request_id: RequestIdLease,
 }
 
 /// The part that an attempt requests, with everything that is needed to encode it into a frame.
--- a/crates/broker/src/upstream/outstanding_parts.rs
+++ b/crates/broker/src/upstream/outstanding_parts.rs
@@ -6,6 +6,7 @@
 //! if the attempt was cancelled meanwhile, and accepts no other part with this id.
 
 use super::attempt::OutgoingAttempt;
+use crate::request_ids::RequestIdLease;
 use broker_types::query::AttemptId;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -20,6 +21,8 @@
     attempt: AttemptId,
     /// Whether the attempt has ended, so that the response is no longer needed.
     is_cancelled: bool,
+    /// Keeps the request id in use, so that no other query has parts with the same ids.
+    _request_id: RequestIdLease,
 }
 
 /// The parts of one connection whose responses may still arrive, by their ids in the frames. Their
@@ -62,6 +65,7 @@
         let part = OutstandingPart {
             attempt: outgoing.attempt,
             is_cancelled: false,
+            _request_id: outgoing.request_id.clone(),
         };
         self.parts.insert(outgoing.part.wire_id.clone(), part);
         true
--- a/crates/broker/src/upstream/tests/mod.rs
+++ b/crates/broker/src/upstream/tests/mod.rs
@@ -14,6 +14,7 @@
 use super::{EndedAttempt, OutgoingAttempt, OutgoingPart, ServerPools, socket};
 use crate::clock::Clock;
 use crate::event_queue::{ConnectionEvent, Event, EventQueue, ServerConnectionId};
+use crate::request_ids::{RequestIdLease, RequestIds};
 use async_executor::LocalExecutor;
 use async_io::Async;
 use broker_types::limits::PoolLimits;
@@ -287,6 +288,7 @@
 
     fn build(self) -> Vec<OutgoingAttempt> {
         let query = self.query;
+        let request_id = lease(&RequestIds::default(), query);
         let outgoing = |part| OutgoingAttempt {
             attempt: AttemptId {
                 attempt: self.attempt,
@@ -298,11 +300,18 @@
                 send_before: self.send_before,
                 ..outgoing_part(&format!("q{query}.{part}"), self.deadline)
             },
+            request_id: request_id.clone(),
         };
         (0..self.parts).map(outgoing).collect()
     }
 }
 
+/// Puts the request id of a query in use.
+fn lease(request_ids: &RequestIds, query: u64) -> RequestIdLease {
+    let lease = request_ids.try_acquire(&format!("q{query}").into());
+    lease.expect("the id is not in use")
+}
+
 fn outgoing_part(wire_id: &str, deadline: Timestamp) -> OutgoingPart {
     OutgoingPart {
         wire_id: wire_id.into(),
--- a/crates/broker/src/upstream/tests/part_ids.rs
+++ b/crates/broker/src/upstream/tests/part_ids.rs
@@ -1,4 +1,5 @@
-//! Parts with the same id: retries and hedged requests.
+//! Parts with the same id: retries, hedged requests, and queries with a request id that was used
+//! before.
 
 use super::*;
 
@@ -105,3 +106,38 @@
     pools.close_expired_connections(at_micros(40));
     assert_eq!(pools.open_connections(), 1);
 }
+
+/// Guards against a query that gets the values of an earlier one with the same request id: the id
+/// must stay in use while a response to a part with it may arrive.
+#[test]
+fn request_id_is_in_use_until_the_late_response_or_the_end_of_the_connection() {
+    let with_response = |pools: &mut TestPools| {
+        pools.receive_response(at_micros(30), CONNECTION_0, "q1.0");
+    };
+    let with_reset = |pools: &mut TestPools| pools.reset_connection(at_micros(30), CONNECTION_0);
+    for end in [with_response as fn(&mut TestPools), with_reset] {
+        let request_ids = RequestIds::default();
+        let mut pools = TestPools::new(limits());
+        let mut attempts = attempts_of(1).build();
+        attempts[0].request_id = lease(&request_ids, 1);
+        pools.send_attempts(START, attempts);
+        pools.write_frame(CONNECTION_0);
+        pools.cancel(at_micros(10), attempt(1, 0));
+        pools.take_ended_attempts(at_micros(10));
+        assert!(request_ids.try_acquire(&"q1".into()).is_none());
+        end(&mut pools);
+        assert!(request_ids.try_acquire(&"q1".into()).is_some());
+    }
+}
+
+/// A part of which nothing was sent must not keep the request id in use.
+#[test]
+fn request_id_is_free_once_the_unsent_parts_are_withdrawn() {
+    let request_ids = RequestIds::default();
+    let mut pools = TestPools::new(limits());
+    let mut attempts = attempts_of(1).build();
+    attempts[0].request_id = lease(&request_ids, 1);
+    pools.send_attempts(START, attempts);
+    pools.cancel(at_micros(10), attempt(1, 0));
+    assert!(request_ids.try_acquire(&"q1".into()).is_some());
+}
