--- a/crates/broker/src/upstream/connection.rs
+++ b/crates/broker/src/upstream/connection.rs
@@ -2,9 +2,15 @@
 //!
 //! [`ServerConnection`] decides on the outcomes of its attempts from what was written and received.
 //! The socket is served by a task of its own: see [`SocketHandle`].
+//!
+//! - `log`: the events of a connection in the log;
+//! - `outcomes`: the outcomes of all attempts in flight when the connection fails.
+
+mod log;
+mod outcomes;
 
 use super::assignment::Assignment;
-use super::attempt::{AttemptOutcome, OutgoingAttempt, OutgoingPart};
+use super::attempt::{OutgoingAttempt, OutgoingPart};
 use super::connection_event::{FrameEffect, ProtocolViolation};
 use super::outstanding_parts::OutstandingParts;
 use super::receive_buffer::{ReceiveBuffer, ReceivedMessage};
@@ -18,10 +24,7 @@
 use broker_types::server::{NodeId, Outcome};
 use broker_types::time::Timestamp;
 use server_protocol::broker::{PartResponse, ServerMessage};
-use std::collections::BTreeSet;
-use std::io;
 use std::rc::Rc;
-use tracing::{debug, warn};
 
 /// Order of connections by their use: first by the number of attempts in flight, then by the time
 /// of the last use. The minimum is therefore the connection that has been idle for longest, if any
@@ -245,7 +248,7 @@
                 self.on_response(response, received.may_be_incomplete)
             }
             ServerMessage::FrameRejected(reason) => {
-                warn!(name: "server_connection_rejected", server = %self.server.0, reason);
+                self.log_rejection(&reason);
                 FrameEffect::ConnectionLost
             }
         }
@@ -297,110 +300,6 @@
         FrameEffect::AwaitData
     }
 
-    /// Logs which attempt a part that is sent on this connection belongs to.
-    fn log_assigned(&self, outgoing: &OutgoingAttempt) {
-        let attempt = outgoing.attempt;
-        debug!(
-            name: "part_assigned", server_connection = self.id.0, server = %self.server.0,
-            part_id = %outgoing.part.wire_id, query = attempt.query.0, attempt = attempt.attempt
-        );
-    }
-
-    /// Logs which attempt a response was taken for.
-    fn log_response(&self, response: &PartResponse, attempt: AttemptId) {
-        debug!(
-            name: "response_received", server_connection = self.id.0, server = %self.server.0,
-            part_id = %response.id, outcome = ?response.outcome, query = attempt.query.0,
-            attempt = attempt.attempt
-        );
-    }
-
-    /// Logs that a response to a cancelled part was ignored.
-    fn log_late_response(&self, response: &PartResponse) {
-        debug!(
-            name: "late_response_ignored", server_connection = self.id.0,
-            server = %self.server.0, part_id = %response.id, outcome = ?response.outcome
-        );
-    }
-
-    /// Logs that the connection was closed or could not be opened, if attempts are in flight.
-    pub(super) fn log_loss(&self, reason: &io::Error) {
-        if !self.is_idle() {
-            warn!(
-                name: "server_connection_lost", server = %self.server.0,
-                error = %reason, in_flight = self.outstanding.in_flight()
-            );
-        }
-    }
-
-    /// Logs a violation of the protocol.
-    pub(super) fn log_violation(&self, violation: ProtocolViolation) {
-        warn!(
-            name: "server_frame_invalid", server = %self.server.0, error = %violation,
-            in_flight = self.outstanding.in_flight()
-        );
-    }
-
-    /// Returns the outcomes of all attempts in flight after the connection was lost.
-    ///
-    /// A part whose frame was not written completely never ran; any other part may have run. An
-    /// unwritten attempt ends as unreachable only if the connection was never established. If it
-    /// was established, its loss does not show whether the server is reachable, so the attempt ends
-    /// as not sent.
-    pub(super) fn outcomes_after_loss(&self) -> Vec<AttemptOutcome> {
-        let unwritten = self.unwritten_attempts();
-        let outcome_of_unwritten = if self.send_queue().was_connected() {
-            Outcome::NotSent
-        } else {
-            Outcome::Unreachable
-        };
-        let with_outcome = |attempt| {
-            let outcome = if unwritten.contains(&attempt) {
-                outcome_of_unwritten
-            } else {
-                Outcome::ConnectionLost
-            };
-            AttemptOutcome { attempt, outcome }
-        };
-        self.attempts().map(with_outcome).collect()
-    }
-
-    /// Returns the outcomes of all attempts in flight after the server has violated the protocol.
-    /// `oldest_first` contains all attempts in flight, in the order in which they were assigned.
-    ///
-    /// The violation is one failure of the server, so only the oldest sent attempt ends with an
-    /// error. The other sent attempts end as cancelled: this outcome counts neither as a further
-    /// failure of the server nor as a failure of their queries, and it does not deny that their
-    /// parts may have run. Attempts whose frames were not written completely end as not sent.
-    ///
-    /// If no attempt is in flight, the server sent surplus data after a complete response, and no
-    /// attempt fails.
-    pub(super) fn outcomes_after_violation(
-        &self,
-        oldest_first: Vec<AttemptId>,
-    ) -> Vec<AttemptOutcome> {
-        let unwritten = self.unwritten_attempts();
-        let mut outcome_of_sent = Outcome::Error;
-        let with_outcome = |attempt| {
-            let outcome = if unwritten.contains(&attempt) {
-                Outcome::NotSent
-            } else {
-                std::mem::replace(&mut outcome_of_sent, Outcome::Cancelled)
-            };
-            AttemptOutcome { attempt, outcome }
-        };
-        oldest_first.into_iter().map(with_outcome).collect()
-    }
-
-    /// Returns the attempts in flight whose frames were not written completely.
-    fn unwritten_attempts(&self) -> BTreeSet<AttemptId> {
-        let unwritten = self.send_queue().unwritten_parts();
-        let wire_ids = unwritten.iter();
-        wire_ids
-            .filter_map(|wire_id| self.outstanding.attempt(wire_id))
-            .collect()
-    }
-
     /// Returns whether the connection is idle and must be closed, because it is draining or was not
     /// used for the maximum idle time.
     pub(super) fn is_expired(&self, now: Timestamp, timeouts: &ConnectionTimeouts) -> bool {
