Log what a client's request waits for until the policy receives it

It now tells the backlog of the listening socket, the turn of the connection and the decoding apart, request_decoded does so at debug for each request, and request_times_reported states every five seconds the valid and invalid requests, the time of the thread that decoding them took, and the longest wait of each kind, the event queue's included.

--- a/crates/broker/src/event_loop/iteration.rs
+++ b/crates/broker/src/event_loop/iteration.rs
@@ -111,6 +111,7 @@
         self.processor.submit_queries(now, received);
         self.processor.poll_policy(now);
         self.processor.end_iteration(now);
+        self.listeners.report_request_times_if_due(now);
     }
 
     /// Handles all queued events. Returns the received queries.
@@ -118,7 +119,11 @@
         let mut received = Vec::new();
         for event in self.event_queue.drain() {
             match event {
-                Event::QueryReceived(query) => received.push(query),
+                Event::QueryReceived(query) => {
+                    let waited = now.saturating_since(query.queued_at);
+                    self.listeners.on_query_dequeued(waited);
+                    received.push(query);
+                }
                 Event::ClientDisconnected { query } => {
                     self.processor.on_client_disconnected(now, query);
                 }
--- a/crates/broker/src/event_queue.rs
+++ b/crates/broker/src/event_queue.rs
@@ -49,6 +49,8 @@
     pub request: QueryRequest,
     /// When the last byte of the request arrived. The client's timeout starts at this time.
     pub arrived_at: Timestamp,
+    /// When the query was queued.
+    pub queued_at: Timestamp,
     /// Channel for the final response. Exactly one response may be sent.
     pub reply: Sender<FinalResponse>,
 }
@@ -105,13 +107,15 @@
         self.wake_up.notify_one();
     }
 
-    /// Submits a query whose request arrived at `arrived_at`. The returned handle receives the one final response. Dropping the handle
-    /// before the response has been sent abandons the query.
+    /// Submits a query whose request arrived at `arrived_at`, at the time `now`. The returned handle
+    /// receives the one final response. Dropping the handle before the response has been sent
+    /// abandons the query.
     pub fn submit_query(
         &self,
         connection: ConnectionId,
         request: QueryRequest,
         arrived_at: Timestamp,
+        now: Timestamp,
     ) -> QueryHandle<'_> {
         let id = self.next_query.get();
         self.next_query.set(QueryId(id.0 + 1));
@@ -122,6 +126,7 @@
             connection,
             request,
             arrived_at,
+            queued_at: now,
             reply,
         }));
         QueryHandle {
--- a/crates/broker/src/event_queue/tests.rs
+++ b/crates/broker/src/event_queue/tests.rs
@@ -19,7 +19,12 @@
 
 /// Submits a query, and returns its handle and the query as the event loop receives it.
 fn submit(queue: &EventQueue) -> (QueryHandle<'_>, ReceivedQuery) {
-    let handle = queue.submit_query(ConnectionId(3), request(), Timestamp::ORIGIN);
+    let handle = queue.submit_query(
+        ConnectionId(3),
+        request(),
+        Timestamp::ORIGIN,
+        Timestamp::ORIGIN,
+    );
     assert_eq!(queue.pending_queries(), 1);
     let event = queue.drain().pop();
     assert_eq!(queue.pending_queries(), 0);
@@ -45,8 +50,18 @@
 #[test]
 fn query_whose_handle_is_dropped_while_it_is_queued_leaves_no_event() {
     let queue = EventQueue::default();
-    let kept = queue.submit_query(ConnectionId(3), request(), Timestamp::ORIGIN);
-    drop(queue.submit_query(ConnectionId(4), request(), Timestamp::ORIGIN));
+    let kept = queue.submit_query(
+        ConnectionId(3),
+        request(),
+        Timestamp::ORIGIN,
+        Timestamp::ORIGIN,
+    );
+    drop(queue.submit_query(
+        ConnectionId(4),
+        request(),
+        Timestamp::ORIGIN,
+        Timestamp::ORIGIN,
+    ));
     assert_eq!(queue.pending_queries(), 1);
     let events = queue.drain();
     assert!(matches!(&events[..], [Event::QueryReceived(query)] if query.id == kept.id));
--- a/crates/broker/src/listeners/accept.rs
+++ b/crates/broker/src/listeners/accept.rs
@@ -1,7 +1,7 @@
 //! Accepts connections for all versions of HTTP. A connection that gets a slot is served by a task
 //! of its own; any other is rejected.
 
-use super::arrival::Backlog;
+use super::arrival::{Arrival, Backlog};
 use super::slots::{ConnectionSlots, Slot};
 use crate::net::{LINGER, linger};
 use async_executor::LocalExecutor;
@@ -25,12 +25,12 @@
     /// Returns the listener's connection slots.
     fn slots(&self) -> &Rc<ConnectionSlots>;
 
-    /// Serves a connection until it is closed. `arrived_at` is the earliest time at which the
-    /// connection arrived, and with it the first bytes that it holds.
+    /// Serves a connection until it is closed. `arrival` states when the connection arrived, and
+    /// with it the first bytes that it holds.
     fn serve(
         self: Rc<Self>,
         stream: Async<TcpStream>,
-        arrived_at: Instant,
+        arrival: Arrival,
         slot: Slot,
     ) -> impl Future<Output = ()>;
 
@@ -48,7 +48,7 @@
     executor: &'a LocalExecutor<'static>,
     /// `None` once the connection is served.
     stream: Option<Async<TcpStream>>,
-    arrived_at: Instant,
+    arrival: Arrival,
 }
 
 impl<'a, H: ConnectionHandler> AcceptedConnection<'a, H> {
@@ -61,7 +61,7 @@
             handler,
             executor,
             stream: Some(accepted.stream),
-            arrived_at: accepted.arrived_at,
+            arrival: accepted.arrival,
         }
     }
 
@@ -70,7 +70,7 @@
         if let Some(stream) = self.stream.take() {
             let handler = self.handler.clone();
             self.executor
-                .spawn(handler.serve(stream, self.arrived_at, slot))
+                .spawn(handler.serve(stream, self.arrival, slot))
                 .detach();
         }
     }
@@ -104,8 +104,7 @@
 /// A connection that was taken from the backlog.
 struct AcceptedStream {
     stream: Async<TcpStream>,
-    /// When the connection arrived in the backlog at the earliest.
-    arrived_at: Instant,
+    arrival: Arrival,
 }
 
 impl ListeningSocket {
@@ -139,8 +138,13 @@
     }
 
     fn accepted(&self, stream: Async<TcpStream>) -> AcceptedStream {
-        let arrived_at = self.backlog.borrow_mut().on_accepted(Instant::now());
-        AcceptedStream { stream, arrived_at }
+        let accepted_at = Instant::now();
+        let arrived_at = self.backlog.borrow_mut().on_accepted(accepted_at);
+        let arrival = Arrival {
+            arrived_at,
+            accepted_at,
+        };
+        AcceptedStream { stream, arrival }
     }
 }
 
@@ -153,7 +157,7 @@
     loop {
         match socket.accept().await {
             Ok(accepted) => {
-                let arrived_at = accepted.arrived_at;
+                let arrived_at = accepted.arrival.arrived_at;
                 let connection = AcceptedConnection::new(&handler, &executor, accepted);
                 if let Some(slot) = handler.slots().wait_for_slot(arrived_at).await {
                     connection.start(slot);
--- a/crates/broker/src/listeners/arrival.rs
+++ b/crates/broker/src/listeners/arrival.rs
@@ -24,6 +24,15 @@
 /// Maximum number of times that are kept for the bytes in one buffer.
 const MAX_BUFFERED_CHUNKS: usize = 32;
 
+/// When a connection, or a request on it, arrived, and when the broker accepted the connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Arrival {
+    /// The earliest time at which the connection, or the last byte of the request, arrived.
+    pub(super) arrived_at: Instant,
+    /// When the connection was taken from the backlog.
+    pub(super) accepted_at: Instant,
+}
+
 /// The time since which bytes may be waiting in a socket.
 pub(super) struct UnreadBytes {
     /// `None` while the broker waits for the socket, which is empty then.
@@ -91,19 +100,29 @@
 /// The arrival of the bytes that were read last on an HTTP/2 connection, shared by its socket, which
 /// sets it, and its streams.
 #[derive(Clone)]
-pub(super) struct LastArrival(Rc<Cell<Instant>>);
+pub(super) struct LastArrival {
+    arrived_at: Rc<Cell<Instant>>,
+    /// When the connection was accepted.
+    accepted_at: Instant,
+}
 
 impl LastArrival {
-    pub(super) fn new(arrived_at: Instant) -> Self {
-        LastArrival(Rc::new(Cell::new(arrived_at)))
+    pub(super) fn new(arrival: Arrival) -> Self {
+        LastArrival {
+            arrived_at: Rc::new(Cell::new(arrival.arrived_at)),
+            accepted_at: arrival.accepted_at,
+        }
     }
 
     pub(super) fn set(&self, arrived_at: Instant) {
-        self.0.set(arrived_at);
+        self.arrived_at.set(arrived_at);
     }
 
-    pub(super) fn get(&self) -> Instant {
-        self.0.get()
+    pub(super) fn get(&self) -> Arrival {
+        Arrival {
+            arrived_at: self.arrived_at.get(),
+            accepted_at: self.accepted_at,
+        }
     }
 }
 
--- a/crates/broker/src/listeners/context.rs
+++ b/crates/broker/src/listeners/context.rs
@@ -2,9 +2,11 @@
 //! settings with which requests are decoded, and the steps of processing a request that are the
 //! same in all versions of HTTP.
 
+use super::arrival::Arrival;
 use super::date::DateHeader;
 use super::lifecycle::{Lifecycle, Phase};
 use super::reply::{Reply, final_reply};
+use super::request_timing::{RequestTiming, RequestTimings};
 use crate::clock::Clock;
 use crate::event_queue::EventQueue;
 use admission::ConnectionId;
@@ -27,6 +29,7 @@
     clock: Clock,
     date: DateHeader,
     lifecycle: Lifecycle,
+    timings: RequestTimings,
     /// Identifier of the connection that was opened last.
     last_connection: Cell<ConnectionId>,
 }
@@ -50,6 +53,7 @@
             clock,
             date: DateHeader::new(),
             lifecycle: Lifecycle::new(),
+            timings: RequestTimings::default(),
             last_connection: Cell::new(ConnectionId::default()),
         })
     }
@@ -64,6 +68,11 @@
         &self.lifecycle
     }
 
+    /// Returns the record of what requests waited for.
+    pub(super) fn timings(&self) -> &RequestTimings {
+        &self.timings
+    }
+
     /// Assigns an identifier to a new connection.
     pub(super) fn next_connection(&self) -> ConnectionId {
         let id = ConnectionId(self.last_connection.get().0 + 1);
@@ -71,20 +80,24 @@
         id
     }
 
-    /// Decodes a complete request that arrived at `arrived_at` and determines the next step.
-    pub(super) fn route(&self, request: &Request<Vec<u8>>, arrived_at: Instant) -> RoutedRequest {
+    /// Decodes a complete request with the given arrival and determines the next step.
+    pub(super) fn route(&self, request: &Request<Vec<u8>>, arrival: Arrival) -> RoutedRequest {
+        let started_at = Instant::now();
         let phase = self.lifecycle.phase();
         let readiness = match phase {
             Phase::Serving => Readiness::Ready,
             Phase::Draining | Phase::Closing => Readiness::NotReady,
         };
-        match route(request, readiness, &self.names, &self.settings) {
+        let routed = route(request, readiness, &self.names, &self.settings);
+        let timing = RequestTiming::new(arrival, started_at, Instant::now());
+        self.timings.on_request_decoded(timing, &routed);
+        match routed {
             // The query might not finish before the program exits.
             Routed::Query(_) if phase == Phase::Closing => RoutedRequest::Immediate(Reply {
                 response: self.rejection(),
                 is_valid_request: true,
             }),
-            Routed::Query(query) => match self.reply_if_expired(&query, arrived_at) {
+            Routed::Query(query) => match self.reply_if_expired(&query, arrival, timing) {
                 Some(reply) => RoutedRequest::Immediate(reply),
                 None => RoutedRequest::Query(query),
             },
@@ -98,17 +111,25 @@
         }
     }
 
-    /// Returns the reply to a query that arrived at `arrived_at` if its client's timeout has passed
+    /// Returns the reply to a query with the given arrival if its client's timeout has passed
     /// already. Such a query is rejected without the event loop, so that a connection with many of
     /// them does not wait for an iteration for each.
-    fn reply_if_expired(&self, query: &QueryRequest, arrived_at: Instant) -> Option<Reply> {
-        let waited = arrived_at.elapsed();
+    fn reply_if_expired(
+        &self,
+        query: &QueryRequest,
+        arrival: Arrival,
+        timing: RequestTiming,
+    ) -> Option<Reply> {
+        let waited = arrival.arrived_at.elapsed();
         if waited < query.client_timeout {
             return None;
         }
         info!(
             name: "query_expired_unread", id = %query.id, waited_ms = waited.as_millis() as u64,
-            client_timeout_ms = query.client_timeout.as_millis() as u64
+            client_timeout_ms = query.client_timeout.as_millis() as u64,
+            backlog_ms = timing.backlog.as_millis() as u64,
+            turn_ms = timing.turn.as_millis() as u64,
+            decoding_us = timing.decoding.as_micros() as u64
         );
         Some(Reply {
             response: self.rejection(),
@@ -130,7 +151,9 @@
         // If the handle is dropped before the response has arrived, it reports the disconnection to
         // the event loop, which cancels the query.
         let arrived_at = self.clock.timestamp(arrived_at);
-        let handle = self.events.submit_query(connection, query, arrived_at);
+        let handle = self
+            .events
+            .submit_query(connection, query, arrived_at, self.clock.now());
         let reply = async move { Ok(final_reply(&handle.response().await)) };
         let cancelled = async { Err(client_disconnected.await) };
         reply.or(cancelled)
--- a/crates/broker/src/listeners/http1/connection.rs
+++ b/crates/broker/src/listeners/http1/connection.rs
@@ -3,6 +3,7 @@
 
 use super::input::{ReceivedRequest, RequestInput, write};
 use crate::clock::with_timeout;
+use crate::listeners::arrival::Arrival;
 use crate::listeners::context::{ListenerContext, RoutedRequest};
 use crate::listeners::lifecycle::Phase;
 use crate::listeners::reply::{CLOSING_RESPONSE, Reply, error_reply, request_timeout_reply};
@@ -19,7 +20,7 @@
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Limit on reading pipelined requests while a response is outstanding: once at least this number
 /// of bytes is buffered, nothing more is read.
@@ -96,14 +97,14 @@
         context: &'a Rc<ListenerContext>,
         slots: &'a ConnectionSlots,
         stream: &'a Async<TcpStream>,
-        arrived_at: Instant,
+        arrival: Arrival,
     ) -> Self {
         Http1Connection {
             context,
             slots,
             stream,
             id: context.next_connection(),
-            input: RequestInput::new(stream, arrived_at),
+            input: RequestInput::new(stream, arrival),
             has_served: false,
             has_responded: false,
         }
@@ -119,11 +120,10 @@
                     WaitOutcome::Evicted => return Ok(self.closing_after_eviction(LINGER_IDLE)),
                 }
             }
-            let (message, arrived_at) = match self.receive_request().await {
-                Ok(ReceiveOutcome::Received(ReceivedRequest::Complete {
-                    message,
-                    arrived_at,
-                })) => (message, arrived_at),
+            let (message, arrival) = match self.receive_request().await {
+                Ok(ReceiveOutcome::Received(ReceivedRequest::Complete { message, arrival })) => {
+                    (message, arrival)
+                }
                 Ok(ReceiveOutcome::Received(ReceivedRequest::Invalid(error))) => {
                     return self
                         .close_with(error_reply(error.status(), error.to_string()))
@@ -135,7 +135,7 @@
                 }
                 Err(error) => return Err(error),
             };
-            if self.respond(&message, arrived_at).await? == Persistence::Close {
+            if self.respond(&message, arrival).await? == Persistence::Close {
                 return Ok(Closing::Linger(LINGER));
             }
             self.input.release_empty_buffer();
@@ -227,14 +227,14 @@
         received.or(evicted).await
     }
 
-    /// Determines the response to a request that arrived at `arrived_at`, and writes it. Returns
+    /// Determines the response to a request with the given arrival, and writes it. Returns
     /// whether the connection stays open.
     async fn respond(
         &mut self,
         request: &Message<Request<Vec<u8>>>,
-        arrived_at: Instant,
+        arrival: Arrival,
     ) -> io::Result<Persistence> {
-        let reply = self.reply_to(&request.value, arrived_at).await?;
+        let reply = self.reply_to(&request.value, arrival).await?;
         let is_serving = self.context.lifecycle().phase() == Phase::Serving;
         let options = ResponseOptions {
             version: request.value.version(),
@@ -253,21 +253,21 @@
     }
 
     /// Determines the reply to a request. If the request is a query, submits it and waits for its
-    /// final response. The client's timeout starts at `arrived_at`. Fails if the client disconnects
-    /// before the reply is known.
+    /// final response. The client's timeout starts when the request arrived. Fails if the client
+    /// disconnects before the reply is known.
     async fn reply_to(
         &mut self,
         request: &Request<Vec<u8>>,
-        arrived_at: Instant,
+        arrival: Arrival,
     ) -> io::Result<Reply> {
-        let query = match self.context.route(request, arrived_at) {
+        let query = match self.context.route(request, arrival) {
             RoutedRequest::Query(query) => query,
             RoutedRequest::Immediate(reply) => return Ok(reply),
         };
         let disconnected = wait_for_disconnect(self.stream, &mut self.input);
         let submitted = self
             .context
-            .submit(self.id, query, arrived_at, disconnected);
+            .submit(self.id, query, arrival.arrived_at, disconnected);
         let reply = submitted.await;
         self.input.on_read_dropped();
         reply
--- a/crates/broker/src/listeners/http1/input.rs
+++ b/crates/broker/src/listeners/http1/input.rs
@@ -2,7 +2,7 @@
 //! outstanding.
 
 use crate::clock::with_timeout;
-use crate::listeners::arrival::{BufferedArrivals, UnreadBytes, read_with_arrival};
+use crate::listeners::arrival::{Arrival, BufferedArrivals, UnreadBytes, read_with_arrival};
 use crate::listeners::timeouts::{MESSAGE_TIMEOUT, RECEIVE_TIMEOUT};
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
@@ -28,8 +28,8 @@
     /// The request is complete.
     Complete {
         message: Box<Message<Request<Vec<u8>>>>,
-        /// When its last byte arrived at the earliest.
-        arrived_at: Instant,
+        /// When its last byte arrived.
+        arrival: Arrival,
     },
     /// The request violates the protocol or a limit. Its end is unknown, so no further request can
     /// be read from the connection.
@@ -44,22 +44,22 @@
     buffer: Vec<u8>,
     /// Arrival times of the bytes in `buffer`.
     arrivals: BufferedArrivals,
-    /// When the byte that was decoded last arrived at the earliest.
-    decoded_arrived_at: Instant,
+    /// When the byte that was decoded last arrived.
+    decoded_arrival: Arrival,
     /// Bytes that have not been read yet.
     unread: UnreadBytes,
 }
 
 impl<'a> RequestInput<'a> {
-    /// Creates a reader of a connection that arrived at `arrived_at` at the earliest.
-    pub(super) fn new(stream: &'a Async<TcpStream>, arrived_at: Instant) -> Self {
+    /// Creates a reader of a connection with the given arrival.
+    pub(super) fn new(stream: &'a Async<TcpStream>, arrival: Arrival) -> Self {
         RequestInput {
             stream,
             decoder: RequestDecoder::new(REQUEST_LIMITS),
             buffer: Vec::new(),
             arrivals: BufferedArrivals::default(),
-            decoded_arrived_at: arrived_at,
-            unread: UnreadBytes::new(arrived_at),
+            decoded_arrival: arrival,
+            unread: UnreadBytes::new(arrival.arrived_at),
         }
     }
 
@@ -94,7 +94,7 @@
         let progress = self.decoder.decode(&mut self.buffer);
         let removed = buffered - self.buffer.len();
         if let Some(arrived_at) = self.arrivals.on_removed(removed) {
-            self.decoded_arrived_at = arrived_at;
+            self.decoded_arrival.arrived_at = arrived_at;
         }
         progress
     }
@@ -115,7 +115,7 @@
                 Ok(Progress::Complete(message)) => {
                     return Ok(ReceivedRequest::Complete {
                         message: Box::new(message),
-                        arrived_at: self.decoded_arrived_at,
+                        arrival: self.decoded_arrival,
                     });
                 }
                 Ok(Progress::Incomplete { awaits_continue }) => awaits_continue,
--- a/crates/broker/src/listeners/http1/mod.rs
+++ b/crates/broker/src/listeners/http1/mod.rs
@@ -6,6 +6,7 @@
 mod input;
 
 use super::accept::ConnectionHandler;
+use super::arrival::Arrival;
 use super::context::ListenerContext;
 use super::reply::CLOSING_RESPONSE;
 use super::slots::{ConnectionSlots, Slot};
@@ -16,7 +17,6 @@
 use std::io::{self, Write};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
-use std::time::Instant;
 
 /// The listener for HTTP/1.1.
 pub(super) struct Http1Listener {
@@ -32,8 +32,8 @@
     /// Serves a connection until it is closed. After an I/O error the connection is closed in the
     /// same way as after its last response. If the error is the client's disconnection, the query
     /// has already been cancelled.
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, arrived_at: Instant, slot: Slot) {
-        let closing = self.serve_requests(&stream, arrived_at).await;
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, arrival: Arrival, slot: Slot) {
+        let closing = self.serve_requests(&stream, arrival).await;
         let linger_time = match closing.unwrap_or(Closing::Linger(LINGER)) {
             Closing::Linger(time) => time,
             Closing::Immediately => return,
@@ -76,10 +76,10 @@
     async fn serve_requests(
         &self,
         stream: &Async<TcpStream>,
-        arrived_at: Instant,
+        arrival: Arrival,
     ) -> io::Result<Closing> {
         stream.get_ref().set_nodelay(true)?;
-        Http1Connection::new(&self.context, &self.slots, stream, arrived_at)
+        Http1Connection::new(&self.context, &self.slots, stream, arrival)
             .serve()
             .await
     }
--- a/crates/broker/src/listeners/http2/handshake.rs
+++ b/crates/broker/src/listeners/http2/handshake.rs
@@ -4,7 +4,7 @@
 use super::guarded_socket::{GuardState, GuardedSocket};
 use super::lifetime::CLOSE_TIMEOUT;
 use crate::clock::{Clock, with_timeout};
-use crate::listeners::arrival::{LastArrival, UnreadBytes, read_with_arrival};
+use crate::listeners::arrival::{Arrival, LastArrival, UnreadBytes, read_with_arrival};
 use crate::listeners::context::ListenerContext;
 use crate::listeners::reply::{CLOSING_RESPONSE, error_reply};
 use crate::listeners::slots::{ConnectionSlots, EvictionPriority};
@@ -22,7 +22,7 @@
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use thiserror::Error;
 
 /// Part of [`STREAM_WINDOW_BYTES`] beyond the maximum length of a body, in bytes. It lets a client
@@ -58,25 +58,24 @@
 pub(super) struct ReceivedPreface {
     /// The preface and what followed it in the same read.
     pub(super) bytes: Vec<u8>,
-    /// When the last of these bytes arrived at the earliest.
-    pub(super) arrived_at: Instant,
+    /// When the last of these bytes arrived.
+    pub(super) arrival: Arrival,
     /// The bytes that have not been read yet.
     pub(super) unread: UnreadBytes,
 }
 
-/// Reads the connection preface and what follows it in the same read. The connection, which arrived
-/// at `arrived_at` at the earliest, may be evicted meanwhile.
+/// Reads the connection preface and what follows it in the same read. The connection may be
+/// evicted meanwhile.
 pub(super) async fn read_preface(
     stream: &Async<TcpStream>,
-    arrived_at: Instant,
+    mut arrival: Arrival,
     slots: &ConnectionSlots,
 ) -> Result<ReceivedPreface, PrefaceError> {
     // This guard checks only the bytes of `PREFACE`, which precede the first frame. Its limits
     // apply to frames and therefore have no effect.
     let mut guard = FloodGuard::new(Timestamp::ORIGIN, FloodLimits::new(1, 1));
     let mut received = Vec::new();
-    let mut arrived_at = arrived_at;
-    let mut unread = UnreadBytes::new(arrived_at);
+    let mut unread = UnreadBytes::new(arrival.arrived_at);
     let evictable = slots.evictable(EvictionPriority::Unused);
     let read = async {
         while received.len() < PREFACE.len() {
@@ -86,7 +85,7 @@
             if read.len == 0 {
                 return Err(PrefaceError::Closed);
             }
-            arrived_at = read.arrived_at;
+            arrival.arrived_at = read.arrived_at;
             let end = received.len().min(PREFACE.len());
             guard.on_received(Timestamp::ORIGIN, &received[inspected..end])?;
         }
@@ -100,7 +99,7 @@
     read.or(closed).await?;
     Ok(ReceivedPreface {
         bytes: received,
-        arrived_at,
+        arrival,
         unread,
     })
 }
@@ -133,7 +132,7 @@
     let flood_limits = FloodLimits::new(limits.max_streams, limits.max_header_list);
     let guard = GuardState::new(FloodGuard::new(clock.now(), flood_limits));
     let _ = stream.get_ref().set_nodelay(true);
-    let last_arrival = LastArrival::new(preface.arrived_at);
+    let last_arrival = LastArrival::new(preface.arrival);
     let socket = GuardedSocket::new(stream, preface, guard.clone(), last_arrival.clone(), clock);
     let max_streams = limits.max_streams as usize;
     let handshake = server::Builder::new()
--- a/crates/broker/src/listeners/http2/mod.rs
+++ b/crates/broker/src/listeners/http2/mod.rs
@@ -13,6 +13,7 @@
 mod stream;
 
 use super::accept::ConnectionHandler;
+use super::arrival::Arrival;
 use super::context::ListenerContext;
 use super::slots::{ConnectionSlots, Slot};
 use crate::net::{LINGER, linger};
@@ -24,7 +25,6 @@
 use std::cell::Cell;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Instant;
 use tracing::warn;
 
 /// The listener for HTTP/2.
@@ -40,10 +40,10 @@
         &self.slots
     }
 
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, arrived_at: Instant, _slot: Slot) {
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, arrival: Arrival, _slot: Slot) {
         let id = self.context.next_connection();
         let stream = Rc::new(stream);
-        match read_preface(&stream, arrived_at, &self.slots).await {
+        match read_preface(&stream, arrival, &self.slots).await {
             Ok(preface) => {
                 self.serve_requests(id, stream.clone(), preface).await;
                 // Closing the socket with unread data would reset the connection, and the client
--- a/crates/broker/src/listeners/http2/stream.rs
+++ b/crates/broker/src/listeners/http2/stream.rs
@@ -2,7 +2,7 @@
 
 use super::request_body::{ReceivedBody, check_authority, receive_body};
 use crate::clock::with_timeout;
-use crate::listeners::arrival::LastArrival;
+use crate::listeners::arrival::{Arrival, LastArrival};
 use crate::listeners::context::{ListenerContext, RoutedRequest};
 use crate::listeners::reply::{Reply, error_reply, request_timeout_reply};
 use crate::listeners::timeouts::MESSAGE_TIMEOUT;
@@ -102,8 +102,9 @@
         let body_policy = BodyPolicy::for_method(&head.method);
         let receive = receive_body(&mut body, &head.headers);
         let received = with_timeout(MESSAGE_TIMEOUT, receive).await;
-        let arrived_at = last_arrival.get();
-        let pending = match route(&context, head, received, arrived_at) {
+        let arrival = last_arrival.get();
+        let arrived_at = arrival.arrived_at;
+        let pending = match route(&context, head, received, arrival) {
             Ok(RoutedRequest::Query(query)) => {
                 let deadline = arrived_at + query.client_timeout;
                 let reset = poll_fn(|cx| respond.poll_reset(cx));
@@ -143,13 +144,13 @@
     context: &ListenerContext,
     head: Parts,
     received: io::Result<ReceivedBody>,
-    arrived_at: Instant,
+    arrival: Arrival,
 ) -> io::Result<RoutedRequest> {
     let reply = match received {
         Ok(ReceivedBody::Complete(bytes)) => {
             let request = Request::from_parts(head, bytes);
             match check_authority(&request) {
-                Ok(()) => return Ok(context.route(&request, arrived_at)),
+                Ok(()) => return Ok(context.route(&request, arrival)),
                 Err(error) => error_reply(400, error.to_string()),
             }
         }
--- a/crates/broker/src/listeners/mod.rs
+++ b/crates/broker/src/listeners/mod.rs
@@ -12,6 +12,7 @@
 mod http2;
 mod lifecycle;
 mod reply;
+mod request_timing;
 mod slots;
 mod timeouts;
 
@@ -21,11 +22,13 @@
 use admission::resource_limits::ListenerLimits;
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
+use broker_types::time::Timestamp;
 use http1::Http1Listener;
 use http2::Http2Listener;
 use lifecycle::Phase;
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Sockets and limits of the listeners.
 pub struct ListenerConfig {
@@ -142,6 +145,16 @@
         self.http1.handler.close_idle();
     }
 
+    /// Records that a query waited `waited` in the event queue.
+    pub fn on_query_dequeued(&self, waited: Duration) {
+        self.context.timings().on_query_dequeued(waited);
+    }
+
+    /// Logs what clients' requests waited for, if the interval since the last report has passed.
+    pub fn report_request_times_if_due(&self, now: Timestamp) {
+        self.context.timings().report_if_due(now);
+    }
+
     /// Returns whether the listening sockets have been closed, so that new connections are refused.
     #[must_use]
     pub fn is_closed(&self) -> bool {
--- a/crates/broker/src/queries/client_query.rs
+++ b/crates/broker/src/queries/client_query.rs
@@ -39,6 +39,7 @@
             request,
             arrived_at,
             reply,
+            queued_at: _,
         } = received;
         let span = debug_span!("query", query = id.0, connection = connection.0, id = %request.id);
         span.in_scope(
