Share the thread out among clients' connections, so that bad clients hold up nobody

Cause: all tasks of the one thread ran in the order in which they were woken. Each step of a usual request came once after all bad clients; the accepting task took one connection each time, so that the backlog grew to seconds. request_times_reported shows both: up to 3.8 s in the backlog, and 3.8 to 4.1 of 5 s spent on decoding what is invalid.

Fix: broker::executor owns the thread's time. A connection's task runs in time slices; connections that have used little come first, whatever is sent and wherever its error stands, and the others get at least a quarter of the time. The broker's own tasks, the event loop and the sockets are served in each round of 1 ms. An HTTP/2 connection yields between its streams. What a request waits for its slice counts as its client's time.

--- a/crates/broker/src/discovery.rs
+++ b/crates/broker/src/discovery.rs
@@ -18,7 +18,8 @@
 mod watcher;
 
 use crate::event_queue::EventQueue;
-use async_executor::{LocalExecutor, Task};
+use crate::executor::Executor;
+use async_executor::Task;
 use backoff::Backoff;
 use fastrand::Rng;
 use std::net::SocketAddr;
@@ -27,7 +28,7 @@
 
 /// The watch of the endpoint list at one address. It queues an event for each update of the list.
 pub struct DiscoveryWatch {
-    executor: Rc<LocalExecutor<'static>>,
+    executor: Rc<Executor>,
     event_queue: Rc<EventQueue>,
     rng: Rng,
     /// The task of the watch, once it has started. Dropping it closes the connection.
@@ -37,11 +38,7 @@
 impl DiscoveryWatch {
     /// Creates a watch that has not been started. `seed` determines the jitter of the backoff.
     #[must_use]
-    pub fn new(
-        executor: Rc<LocalExecutor<'static>>,
-        event_queue: Rc<EventQueue>,
-        seed: u64,
-    ) -> Self {
+    pub fn new(executor: Rc<Executor>, event_queue: Rc<EventQueue>, seed: u64) -> Self {
         DiscoveryWatch {
             executor,
             event_queue,
--- a/crates/broker/src/discovery/watcher/tests.rs
+++ b/crates/broker/src/discovery/watcher/tests.rs
@@ -1,7 +1,7 @@
 //! Lists that discovery sends faster than the event loop handles them.
 
 use super::*;
-use async_executor::LocalExecutor;
+use crate::executor::Executor;
 use fastrand::Rng;
 use futures_lite::future::yield_now;
 use std::io::{BufRead, BufReader, Write};
@@ -32,7 +32,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || answer_at_once(listener.accept().unwrap().0));
-    let executor = LocalExecutor::new();
+    let executor = Executor::default();
     let event_queue = Rc::new(EventQueue::default());
     let backoff = Backoff::new(Rng::with_seed(1));
     let watcher = Watcher::new(address, None, event_queue.clone(), backoff);
--- a/crates/broker/src/event_loop/iteration.rs
+++ b/crates/broker/src/event_loop/iteration.rs
@@ -57,6 +57,7 @@
             config.settings.clone(),
             config.names.clone(),
             runtime.clock(),
+            runtime.executor().current_slice(),
         );
         let tick = millis(config.settings.tick);
         let queries = ClientQueries::new(&config.settings, config.max_in_flight);
--- a/crates/broker/src/event_loop/runtime.rs
+++ b/crates/broker/src/event_loop/runtime.rs
@@ -3,14 +3,14 @@
 
 use crate::clock::Clock;
 use crate::event_queue::{Event, EventQueue};
-use async_executor::LocalExecutor;
+use crate::executor::Executor;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use std::rc::Rc;
 
 /// The executor, the event queue and the clock of the broker.
 pub(super) struct Runtime {
-    executor: Rc<LocalExecutor<'static>>,
+    executor: Rc<Executor>,
     event_queue: Rc<EventQueue>,
     clock: Clock,
 }
@@ -19,14 +19,14 @@
     /// Creates a runtime without tasks and starts its clock.
     pub(super) fn start() -> Self {
         Runtime {
-            executor: Rc::new(LocalExecutor::new()),
+            executor: Rc::new(Executor::default()),
             event_queue: Rc::new(EventQueue::default()),
             clock: Clock::start(),
         }
     }
 
     /// Returns the executor, which runs all tasks on one thread.
-    pub(super) fn executor(&self) -> Rc<LocalExecutor<'static>> {
+    pub(super) fn executor(&self) -> Rc<Executor> {
         self.executor.clone()
     }
 
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod discovery;
 pub mod event_loop;
 pub mod event_queue;
+pub mod executor;
 pub mod listeners;
 pub mod net;
 mod notify;
--- a/crates/broker/src/listeners/accept.rs
+++ b/crates/broker/src/listeners/accept.rs
@@ -3,8 +3,8 @@
 
 use super::arrival::{Arrival, Backlog};
 use super::slots::{ConnectionSlots, Slot};
+use crate::executor::Executor;
 use crate::net::{LINGER, linger};
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
 use std::cell::RefCell;
@@ -45,18 +45,14 @@
 /// the connection waits for a slot.
 struct AcceptedConnection<'a, H: ConnectionHandler> {
     handler: &'a Rc<H>,
-    executor: &'a LocalExecutor<'static>,
+    executor: &'a Executor,
     /// `None` once the connection is served.
     stream: Option<Async<TcpStream>>,
     arrival: Arrival,
 }
 
 impl<'a, H: ConnectionHandler> AcceptedConnection<'a, H> {
-    fn new(
-        handler: &'a Rc<H>,
-        executor: &'a LocalExecutor<'static>,
-        accepted: AcceptedStream,
-    ) -> Self {
+    fn new(handler: &'a Rc<H>, executor: &'a Executor, accepted: AcceptedStream) -> Self {
         AcceptedConnection {
             handler,
             executor,
@@ -70,8 +66,7 @@
         if let Some(stream) = self.stream.take() {
             let handler = self.handler.clone();
             self.executor
-                .spawn(handler.serve(stream, self.arrival, slot))
-                .detach();
+                .spawn_connection(handler.serve(stream, self.arrival, slot));
         }
     }
 }
@@ -90,7 +85,7 @@
                 let _ = linger(&stream, LINGER).await;
                 drop(closing);
             };
-            self.executor.spawn(linger).detach();
+            self.executor.spawn_connection(linger);
         }
     }
 }
@@ -152,7 +147,7 @@
 pub(super) async fn accept_connections<H: ConnectionHandler>(
     handler: Rc<H>,
     socket: Rc<ListeningSocket>,
-    executor: Rc<LocalExecutor<'static>>,
+    executor: Rc<Executor>,
 ) {
     loop {
         match socket.accept().await {
@@ -180,7 +175,7 @@
 pub(super) fn accept_backlog<H: ConnectionHandler>(
     handler: &Rc<H>,
     socket: &ListeningSocket,
-    executor: &LocalExecutor<'static>,
+    executor: &Executor,
 ) {
     while let Some(accepted) = socket.try_accept() {
         let connection = AcceptedConnection::new(handler, executor, accepted);
--- a/crates/broker/src/listeners/arrival.rs
+++ b/crates/broker/src/listeners/arrival.rs
@@ -3,10 +3,12 @@
 //!
 //! A client's time counts from the arrival of its request, not from the moment at which the broker
 //! reads it. The operating system does not tell the time of arrival. While the broker waits for a
-//! socket, it reads what arrives at once, so the time of the read is the time of arrival. What is
+//! socket, the connection's task is woken as soon as bytes arrive, so the time at which it becomes
+//! ready to run is the time of arrival. What is
 //! found on a socket for which the broker did not wait may have arrived at any time since the socket
 //! was last known to be empty.
 
+use crate::executor::CurrentSlice;
 use crate::net::{READ_CHUNK_BYTES, read_some};
 use async_io::Async;
 use std::cell::Cell;
@@ -37,12 +39,15 @@
 pub(super) struct UnreadBytes {
     /// `None` while the broker waits for the socket, which is empty then.
     since: Option<Instant>,
+    slice: CurrentSlice,
 }
 
 impl UnreadBytes {
-    /// Creates the state of a socket in which bytes may have been waiting since `since`.
-    pub(super) fn new(since: Instant) -> Self {
-        UnreadBytes { since: Some(since) }
+    /// Creates the state of a socket in which bytes may have been waiting since `since`. It is read
+    /// in the time slices that `slice` shows.
+    pub(super) fn new(since: Instant, slice: CurrentSlice) -> Self {
+        let since = Some(since);
+        UnreadBytes { since, slice }
     }
 
     /// Records that the socket is empty and that the broker waits for it.
@@ -50,10 +55,12 @@
         self.since = None;
     }
 
-    /// Records that bytes were read at `now`, and returns when they arrived at the earliest.
+    /// Records that `bytes` were read at `now`, and returns when they arrived at the earliest.
     /// `is_emptied` states whether the read has taken all bytes that the socket held.
-    pub(super) fn on_read(&mut self, now: Instant, is_emptied: bool) -> Instant {
-        let arrived_at = self.since.unwrap_or(now);
+    pub(super) fn on_read(&mut self, now: Instant, bytes: usize, is_emptied: bool) -> Instant {
+        self.slice.on_received(bytes);
+        let ready_since = self.slice.ready_since();
+        let arrived_at = self.since.or(ready_since).unwrap_or(now);
         self.since = Some(if is_emptied { now } else { arrived_at });
         arrived_at
     }
@@ -93,7 +100,7 @@
         len
     })
     .await?;
-    let arrived_at = unread.on_read(Instant::now(), len < READ_CHUNK_BYTES);
+    let arrived_at = unread.on_read(Instant::now(), len, len < READ_CHUNK_BYTES);
     Ok(ReadBytes { len, arrived_at })
 }
 
--- a/crates/broker/src/listeners/arrival/tests.rs
+++ b/crates/broker/src/listeners/arrival/tests.rs
@@ -9,20 +9,20 @@
 fn bytes_found_on_a_socket_may_have_arrived_since_it_was_last_empty() {
     let start = Instant::now();
     let at = |milliseconds: u32| start + milliseconds * MILLISECOND;
-    let mut unread = UnreadBytes::new(at(0));
+    let mut unread = UnreadBytes::new(at(0), CurrentSlice::default());
     // Bytes that are found at once may have arrived with the connection, and so may the next ones
     // unless the read has emptied the socket.
-    assert_eq!(unread.on_read(at(10), false), at(0));
-    assert_eq!(unread.on_read(at(11), true), at(0));
-    assert_eq!(unread.on_read(at(20), true), at(11));
+    assert_eq!(unread.on_read(at(10), 1, false), at(0));
+    assert_eq!(unread.on_read(at(11), 1, true), at(0));
+    assert_eq!(unread.on_read(at(20), 1, true), at(11));
     // Bytes for which the broker has waited arrived when they were read.
     unread.on_empty();
-    assert_eq!(unread.on_read(at(30), true), at(30));
+    assert_eq!(unread.on_read(at(30), 1, true), at(30));
     // Bytes that are found after a pause may have arrived since its start.
     unread.on_empty();
     unread.on_wait_ended(at(40));
     unread.on_wait_ended(at(45));
-    assert_eq!(unread.on_read(at(50), true), at(40));
+    assert_eq!(unread.on_read(at(50), 1, true), at(40));
 }
 
 #[test]
--- a/crates/broker/src/listeners/context.rs
+++ b/crates/broker/src/listeners/context.rs
@@ -9,6 +9,7 @@
 use super::request_timing::{RequestTiming, RequestTimings};
 use crate::clock::Clock;
 use crate::event_queue::EventQueue;
+use crate::executor::CurrentSlice;
 use admission::ConnectionId;
 use broker_types::query::{Names, QueryRequest};
 use fanout_policy::api::Settings;
@@ -30,6 +31,7 @@
     date: DateHeader,
     lifecycle: Lifecycle,
     timings: RequestTimings,
+    slice: CurrentSlice,
     /// Identifier of the connection that was opened last.
     last_connection: Cell<ConnectionId>,
 }
@@ -45,7 +47,14 @@
 
 impl ListenerContext {
     /// Creates the context of a broker that serves queries and submits them to `events`.
-    pub fn new(events: Rc<EventQueue>, settings: Settings, names: Names, clock: Clock) -> Rc<Self> {
+    /// `slice` is that of the executor that runs the connections' tasks.
+    pub fn new(
+        events: Rc<EventQueue>,
+        settings: Settings,
+        names: Names,
+        clock: Clock,
+        slice: CurrentSlice,
+    ) -> Rc<Self> {
         Rc::new(ListenerContext {
             events,
             settings,
@@ -54,6 +63,7 @@
             date: DateHeader::new(),
             lifecycle: Lifecycle::new(),
             timings: RequestTimings::default(),
+            slice,
             last_connection: Cell::new(ConnectionId::default()),
         })
     }
@@ -73,6 +83,11 @@
         &self.timings
     }
 
+    /// Returns the time slice of whichever connection's task runs.
+    pub(super) fn slice(&self) -> &CurrentSlice {
+        &self.slice
+    }
+
     /// Assigns an identifier to a new connection.
     pub(super) fn next_connection(&self) -> ConnectionId {
         let id = ConnectionId(self.last_connection.get().0 + 1);
@@ -128,7 +143,7 @@
             name: "query_expired_unread", id = %query.id, waited_ms = waited.as_millis() as u64,
             client_timeout_ms = query.client_timeout.as_millis() as u64,
             backlog_ms = timing.backlog.as_millis() as u64,
-            turn_ms = timing.turn.as_millis() as u64,
+            run_queue_ms = timing.run_queue.as_millis() as u64,
             decoding_us = timing.decoding.as_micros() as u64
         );
         Some(Reply {
--- a/crates/broker/src/listeners/http1/connection.rs
+++ b/crates/broker/src/listeners/http1/connection.rs
@@ -104,7 +104,7 @@
             slots,
             stream,
             id: context.next_connection(),
-            input: RequestInput::new(stream, arrival),
+            input: RequestInput::new(stream, arrival, context.slice().clone()),
             has_served: false,
             has_responded: false,
         }
--- a/crates/broker/src/listeners/http1/input.rs
+++ b/crates/broker/src/listeners/http1/input.rs
@@ -2,6 +2,7 @@
 //! outstanding.
 
 use crate::clock::with_timeout;
+use crate::executor::CurrentSlice;
 use crate::listeners::arrival::{Arrival, BufferedArrivals, UnreadBytes, read_with_arrival};
 use crate::listeners::timeouts::{MESSAGE_TIMEOUT, RECEIVE_TIMEOUT};
 use async_io::Async;
@@ -52,14 +53,15 @@
 
 impl<'a> RequestInput<'a> {
     /// Creates a reader of a connection with the given arrival.
-    pub(super) fn new(stream: &'a Async<TcpStream>, arrival: Arrival) -> Self {
+    /// `slice` shows the time slices in which it is read.
+    pub(super) fn new(stream: &'a Async<TcpStream>, arrival: Arrival, slice: CurrentSlice) -> Self {
         RequestInput {
             stream,
             decoder: RequestDecoder::new(REQUEST_LIMITS),
             buffer: Vec::new(),
             arrivals: BufferedArrivals::default(),
             decoded_arrival: arrival,
-            unread: UnreadBytes::new(arrival.arrived_at),
+            unread: UnreadBytes::new(arrival.arrived_at, slice),
         }
     }
 
--- a/crates/broker/src/listeners/http2/connection.rs
+++ b/crates/broker/src/listeners/http2/connection.rs
@@ -73,6 +73,7 @@
             if self.context.lifecycle().phase() != Phase::Serving {
                 self.start_graceful_shutdown();
             }
+            self.context.slice().yield_if_used_up().await;
             let event = self.next_event().await;
             if self.on_event(event).is_break() {
                 return;
--- a/crates/broker/src/listeners/http2/guarded_socket.rs
+++ b/crates/broker/src/listeners/http2/guarded_socket.rs
@@ -3,7 +3,9 @@
 
 use super::handshake::ReceivedPreface;
 use crate::clock::Clock;
+use crate::executor::CurrentSlice;
 use crate::listeners::arrival::{LastArrival, UnreadBytes};
+use crate::listeners::context::ListenerContext;
 use async_io::Async;
 use broker_types::time::Timestamp;
 use futures_lite::{AsyncRead as _, AsyncWrite as _};
@@ -13,7 +15,7 @@
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
@@ -74,6 +76,7 @@
     unread: UnreadBytes,
     last_arrival: LastArrival,
     clock: Clock,
+    slice: CurrentSlice,
 }
 
 impl GuardedSocket {
@@ -83,7 +86,7 @@
         preface: ReceivedPreface,
         guard: SharedGuard,
         last_arrival: LastArrival,
-        clock: Clock,
+        context: &ListenerContext,
     ) -> Self {
         GuardedSocket {
             stream,
@@ -91,7 +94,8 @@
             unread: preface.unread,
             last_arrival,
             guard,
-            clock,
+            clock: context.clock(),
+            slice: context.slice().clone(),
         }
     }
 
@@ -125,7 +129,7 @@
         let length = length?;
         let is_emptied = length < unfilled.len();
         self.last_arrival
-            .set(self.unread.on_read(Instant::now(), is_emptied));
+            .set(self.unread.on_read(Instant::now(), length, is_emptied));
         if self.inspect(&unfilled[..length]).is_err() {
             return Poll::Pending;
         }
@@ -142,8 +146,11 @@
     ) -> Poll<io::Result<()>> {
         let has_violation = self.guard.borrow().violation().is_some();
         if has_violation {
-            Poll::Pending
-        } else if self.initial_input.is_empty() {
+            return Poll::Pending;
+        }
+        // The library reads for as long as there is something to read.
+        ready!(self.slice.poll_yield_if_used_up(cx));
+        if self.initial_input.is_empty() {
             self.poll_read_socket(cx, buf)
         } else {
             self.poll_read_initial_input(buf)
--- a/crates/broker/src/listeners/http2/handshake.rs
+++ b/crates/broker/src/listeners/http2/handshake.rs
@@ -3,7 +3,8 @@
 use super::guarded_connection::GuardedConnection;
 use super::guarded_socket::{GuardState, GuardedSocket};
 use super::lifetime::CLOSE_TIMEOUT;
-use crate::clock::{Clock, with_timeout};
+use crate::clock::with_timeout;
+use crate::executor::CurrentSlice;
 use crate::listeners::arrival::{Arrival, LastArrival, UnreadBytes, read_with_arrival};
 use crate::listeners::context::ListenerContext;
 use crate::listeners::reply::{CLOSING_RESPONSE, error_reply};
@@ -70,12 +71,13 @@
     stream: &Async<TcpStream>,
     mut arrival: Arrival,
     slots: &ConnectionSlots,
+    slice: &CurrentSlice,
 ) -> Result<ReceivedPreface, PrefaceError> {
     // This guard checks only the bytes of `PREFACE`, which precede the first frame. Its limits
     // apply to frames and therefore have no effect.
     let mut guard = FloodGuard::new(Timestamp::ORIGIN, FloodLimits::new(1, 1));
     let mut received = Vec::new();
-    let mut unread = UnreadBytes::new(arrival.arrived_at);
+    let mut unread = UnreadBytes::new(arrival.arrived_at, slice.clone());
     let evictable = slots.evictable(EvictionPriority::Unused);
     let read = async {
         while received.len() < PREFACE.len() {
@@ -125,15 +127,22 @@
 /// settings are exchanged.
 pub(super) async fn handshake(
     limits: Http2Limits,
-    clock: Clock,
+    context: &ListenerContext,
     stream: Rc<Async<TcpStream>>,
     preface: ReceivedPreface,
 ) -> io::Result<Box<GuardedConnection>> {
+    let clock = context.clock();
     let flood_limits = FloodLimits::new(limits.max_streams, limits.max_header_list);
     let guard = GuardState::new(FloodGuard::new(clock.now(), flood_limits));
     let _ = stream.get_ref().set_nodelay(true);
     let last_arrival = LastArrival::new(preface.arrival);
-    let socket = GuardedSocket::new(stream, preface, guard.clone(), last_arrival.clone(), clock);
+    let socket = GuardedSocket::new(
+        stream,
+        preface,
+        guard.clone(),
+        last_arrival.clone(),
+        context,
+    );
     let max_streams = limits.max_streams as usize;
     let handshake = server::Builder::new()
         .initial_window_size(STREAM_WINDOW_BYTES)
--- a/crates/broker/src/listeners/http2/mod.rs
+++ b/crates/broker/src/listeners/http2/mod.rs
@@ -43,7 +43,7 @@
     async fn serve(self: Rc<Self>, stream: Async<TcpStream>, arrival: Arrival, _slot: Slot) {
         let id = self.context.next_connection();
         let stream = Rc::new(stream);
-        match read_preface(&stream, arrival, &self.slots).await {
+        match read_preface(&stream, arrival, &self.slots, self.context.slice()).await {
             Ok(preface) => {
                 self.serve_requests(id, stream.clone(), preface).await;
                 // Closing the socket with unread data would reset the connection, and the client
@@ -92,7 +92,7 @@
         stream: Rc<Async<TcpStream>>,
         preface: ReceivedPreface,
     ) {
-        let handshake = handshake(self.limits.get(), self.context.clock(), stream, preface);
+        let handshake = handshake(self.limits.get(), &self.context, stream, preface);
         if let Ok(protocol) = handshake.await {
             let mut connection = Http2Connection::new(&self.context, &self.slots, id, protocol);
             connection.run().await;
--- a/crates/broker/src/listeners/http2/stream.rs
+++ b/crates/broker/src/listeners/http2/stream.rs
@@ -103,6 +103,8 @@
         let receive = receive_body(&mut body, &head.headers);
         let received = with_timeout(MESSAGE_TIMEOUT, receive).await;
         let arrival = last_arrival.get();
+        // A connection has many streams, and a request may take long to decode.
+        context.slice().yield_if_used_up().await;
         let arrived_at = arrival.arrived_at;
         let pending = match route(&context, head, received, arrival) {
             Ok(RoutedRequest::Query(query)) => {
--- a/crates/broker/src/listeners/mod.rs
+++ b/crates/broker/src/listeners/mod.rs
@@ -18,9 +18,10 @@
 
 pub use context::ListenerContext;
 
+use crate::executor::Executor;
 use accept::{ConnectionHandler, ListeningSocket, accept_backlog, accept_connections};
 use admission::resource_limits::ListenerLimits;
-use async_executor::{LocalExecutor, Task};
+use async_executor::Task;
 use async_io::Async;
 use broker_types::time::Timestamp;
 use http1::Http1Listener;
@@ -55,11 +56,7 @@
 
 impl<H: ConnectionHandler> Listener<H> {
     /// Starts the task that accepts connections on `socket`. Each of them is served by `handler`.
-    fn start(
-        handler: H,
-        socket: Async<TcpListener>,
-        executor: &Rc<LocalExecutor<'static>>,
-    ) -> Self {
+    fn start(handler: H, socket: Async<TcpListener>, executor: &Rc<Executor>) -> Self {
         let handler = Rc::new(handler);
         let socket = Rc::new(ListeningSocket::new(socket));
         let task = executor.spawn(accept_connections(
@@ -74,7 +71,7 @@
     }
 
     /// Closes the listening socket. The connections in its backlog are accepted first.
-    async fn close(&mut self, executor: &LocalExecutor<'static>) {
+    async fn close(&mut self, executor: &Executor) {
         if let Some(Accepting { task, socket }) = self.accepting.take() {
             task.cancel().await;
             accept_backlog(&self.handler, &socket, executor);
@@ -85,7 +82,7 @@
 /// The listeners for client connections.
 pub struct ClientListeners {
     context: Rc<ListenerContext>,
-    executor: Rc<LocalExecutor<'static>>,
+    executor: Rc<Executor>,
     http1: Listener<Http1Listener>,
     http2: Option<Listener<Http2Listener>>,
 }
@@ -96,7 +93,7 @@
     pub fn start(
         context: Rc<ListenerContext>,
         config: ListenerConfig,
-        executor: Rc<LocalExecutor<'static>>,
+        executor: Rc<Executor>,
     ) -> Self {
         let http1 = Http1Listener::new(context.clone(), config.limits.max_http1_connections);
         let http1 = Listener::start(http1, config.http1, &executor);
--- a/crates/broker/src/listeners/request_timing.rs
+++ b/crates/broker/src/listeners/request_timing.rs
@@ -1,5 +1,6 @@
 //! Measures what clients' requests wait for until the policy receives them: in the backlog of the
-//! listening socket, for a turn of their connection, for decoding, and in the event queue.
+//! listening socket, in the run queue of the
+//! connections' tasks, for decoding, and in the event queue.
 //!
 //! [`RequestTimings`] owns the figures of an interval and logs them.
 
@@ -19,7 +20,7 @@
     /// At most this long, the connection waited in the backlog after the request had arrived.
     pub(super) backlog: Duration,
     /// From then on, at most this long until the decoding started.
-    pub(super) turn: Duration,
+    pub(super) run_queue: Duration,
     /// Duration of the decoding.
     pub(super) decoding: Duration,
 }
@@ -30,7 +31,7 @@
         let ready_at = arrival.arrived_at.max(arrival.accepted_at);
         RequestTiming {
             backlog: ready_at - arrival.arrived_at,
-            turn: started_at.saturating_duration_since(ready_at),
+            run_queue: started_at.saturating_duration_since(ready_at),
             decoding: ended_at - started_at,
         }
     }
@@ -44,7 +45,7 @@
     decoding_valid: Duration,
     decoding_invalid: Duration,
     longest_backlog: Duration,
-    longest_turn: Duration,
+    longest_run_queue: Duration,
     longest_decoding: Duration,
     longest_queue: Duration,
 }
@@ -69,7 +70,7 @@
         debug!(
             name: "request_decoded", valid = is_valid,
             backlog_ms = timing.backlog.as_millis() as u64,
-            turn_ms = timing.turn.as_millis() as u64,
+            run_queue_ms = timing.run_queue.as_millis() as u64,
             decoding_us = timing.decoding.as_micros() as u64
         );
         let mut figures = self.figures.borrow_mut();
@@ -81,7 +82,7 @@
             figures.decoding_invalid += timing.decoding;
         }
         figures.longest_backlog = figures.longest_backlog.max(timing.backlog);
-        figures.longest_turn = figures.longest_turn.max(timing.turn);
+        figures.longest_run_queue = figures.longest_run_queue.max(timing.run_queue);
         figures.longest_decoding = figures.longest_decoding.max(timing.decoding);
     }
 
@@ -109,7 +110,7 @@
             decoding_valid_ms = figures.decoding_valid.as_millis() as u64,
             decoding_invalid_ms = figures.decoding_invalid.as_millis() as u64,
             longest_backlog_ms = figures.longest_backlog.as_millis() as u64,
-            longest_turn_ms = figures.longest_turn.as_millis() as u64,
+            longest_run_queue_ms = figures.longest_run_queue.as_millis() as u64,
             longest_decoding_us = figures.longest_decoding.as_micros() as u64,
             longest_queue_ms = figures.longest_queue.as_millis() as u64
         );
--- a/crates/broker/src/listeners/tests.rs
+++ b/crates/broker/src/listeners/tests.rs
@@ -31,12 +31,12 @@
 }
 
 /// Creates the context of a broker in the phase [`Phase::Serving`].
-fn context() -> Rc<ListenerContext> {
-    context_with(Rc::default(), Clock::start())
+fn context(executor: &Executor) -> Rc<ListenerContext> {
+    context_with(executor, Rc::default(), Clock::start())
 }
 
 /// Creates the context of a broker in the phase [`Phase::Serving`] that submits queries to `events`.
-fn context_with(events: Rc<EventQueue>, clock: Clock) -> Rc<ListenerContext> {
+fn context_with(executor: &Executor, events: Rc<EventQueue>, clock: Clock) -> Rc<ListenerContext> {
     let settings: serde_json::Value =
         serde_json::from_str(include_str!("../../../broker-types/tests/settings.json")).unwrap();
     let site = decode("settings", settings.as_object().unwrap()).unwrap();
@@ -45,7 +45,8 @@
         tenants: vec!["acme".into(), "public-site".into()],
         zones: Vec::new(),
     };
-    ListenerContext::new(events, site.settings, names, clock)
+    let slice = executor.current_slice();
+    ListenerContext::new(events, site.settings, names, clock, slice)
 }
 
 /// Both slots are in use by connections that may be evicted. The one that is evicted first receives
@@ -54,8 +55,8 @@
 /// the second one, and accepts no connection meanwhile.
 #[test]
 fn accepting_continues_when_evicted_connection_stays_open() {
-    let executor = Rc::new(LocalExecutor::new());
-    let listener = Rc::new(Http1Listener::new(context(), 2));
+    let executor = Rc::new(Executor::default());
+    let listener = Rc::new(Http1Listener::new(context(&executor), 2));
     let slots: Rc<ConnectionSlots> = listener.slots().clone();
     let kept_slot = slots.take();
     let _evictable_that_stays_open = slots.evictable(EvictionPriority::Unused);
@@ -87,10 +88,11 @@
 /// task. Guards against closing the new connection without a response.
 #[test]
 fn connection_waiting_for_slot_is_rejected_when_listener_closes() {
-    let executor = Rc::new(LocalExecutor::new());
+    let executor = Rc::new(Executor::default());
     let socket = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
     let mut client = TcpStream::connect(socket.get_ref().local_addr().unwrap()).unwrap();
-    let mut listener = Listener::start(Http1Listener::new(context(), 1), socket, &executor);
+    let mut listener =
+        Listener::start(Http1Listener::new(context(&executor), 1), socket, &executor);
     let slots: Rc<ConnectionSlots> = listener.handler.slots().clone();
     let _slot = slots.take();
     let evictable = slots.evictable(EvictionPriority::Idle);
@@ -109,10 +111,10 @@
 /// request arrives shortly after. Guards against closing the connection without a response.
 #[test]
 fn connection_from_backlog_gets_response_after_listener_closed() {
-    let executor = Rc::new(LocalExecutor::new());
+    let executor = Rc::new(Executor::default());
     let socket = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
     let mut client = TcpStream::connect(socket.get_ref().local_addr().unwrap()).unwrap();
-    let context = context();
+    let context = context(&executor);
     let mut listener = Listener::start(Http1Listener::new(context.clone(), 1), socket, &executor);
     let request = request();
     let response = async {
@@ -139,7 +141,7 @@
 /// Starts a listener on a free port, and returns it with its address.
 fn start_listener<H: ConnectionHandler>(
     handler: H,
-    executor: &Rc<LocalExecutor<'static>>,
+    executor: &Rc<Executor>,
 ) -> (Listener<H>, SocketAddr) {
     let socket = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
     let address = socket.get_ref().local_addr().unwrap();
@@ -168,9 +170,9 @@
     connections_before: usize,
     request: &[u8],
 ) -> Duration {
-    let (executor, events) = (Rc::new(LocalExecutor::new()), Rc::<EventQueue>::default());
+    let (executor, events) = (Rc::new(Executor::default()), Rc::<EventQueue>::default());
     let clock = Clock::start();
-    let listener = listener(context_with(events.clone(), clock));
+    let listener = listener(context_with(&executor, events.clone(), clock));
     let (listener, address) = start_listener(listener, &executor);
     let slot = listener.handler.slots().take();
     let started = async {
@@ -230,8 +232,8 @@
 /// keep its slot while it lingers, even if no more connections may linger without a slot.
 #[test]
 fn evicted_connection_with_half_a_request_frees_its_slot_at_once() {
-    let (executor, events) = (Rc::new(LocalExecutor::new()), Rc::<EventQueue>::default());
-    let context = context_with(events.clone(), Clock::start());
+    let (executor, events) = (Rc::new(Executor::default()), Rc::<EventQueue>::default());
+    let context = context_with(&executor, events.clone(), Clock::start());
     let (listener, address) = start_listener(Http1Listener::new(context, 1), &executor);
     let slots = listener.handler.slots();
     let _closing: Vec<_> = std::iter::from_fn(|| slots.try_close_without_slot()).collect();
@@ -259,8 +261,8 @@
 /// it waited unread: it must be rejected at once. No event loop runs here.
 #[test]
 fn query_whose_time_has_passed_is_rejected_without_the_event_loop() {
-    let (executor, events) = (Rc::new(LocalExecutor::new()), Rc::<EventQueue>::default());
-    let context = context_with(events.clone(), Clock::start());
+    let (executor, events) = (Rc::new(Executor::default()), Rc::<EventQueue>::default());
+    let context = context_with(&executor, events.clone(), Clock::start());
     let (listener, address) = start_listener(Http1Listener::new(context, 1), &executor);
     let slot = listener.handler.slots().take();
     let response = async {
@@ -281,8 +283,8 @@
 /// against a reset: the connection must linger, because no other connection needs its slot.
 #[test]
 fn unused_connection_is_closed_without_reset_during_shutdown() {
-    let executor = Rc::new(LocalExecutor::new());
-    let context = context();
+    let executor = Rc::new(Executor::default());
+    let context = context(&executor);
     let (listener, address) = start_listener(Http1Listener::new(context.clone(), 1), &executor);
     let slots = listener.handler.slots();
     let closed = async {
--- a/crates/broker/src/upstream/pools.rs
+++ b/crates/broker/src/upstream/pools.rs
@@ -12,7 +12,7 @@
 use crate::clock::Clock;
 use crate::event_queue::ServerConnectionId;
 use crate::event_queue::{ConnectionEvent, EventQueue};
-use async_executor::LocalExecutor;
+use crate::executor::Executor;
 use broker_types::limits::PoolLimits;
 use broker_types::query::{AttemptId, PartIndex, QueryId};
 use broker_types::server::{NodeId, Outcome};
@@ -35,7 +35,7 @@
     /// Creates pools without servers. The tasks of the sockets run in `executor` and report to
     /// `event_queue`.
     pub fn new(
-        executor: Rc<LocalExecutor<'static>>,
+        executor: Rc<Executor>,
         event_queue: Rc<EventQueue>,
         clock: Clock,
         limits: PoolLimits,
--- a/crates/broker/src/upstream/socket.rs
+++ b/crates/broker/src/upstream/socket.rs
@@ -6,7 +6,8 @@
 use crate::clock::{Clock, with_timeout};
 use crate::event_queue::ServerConnectionId;
 use crate::event_queue::{ConnectionEvent, Event, EventQueue};
-use async_executor::{LocalExecutor, Task};
+use crate::executor::Executor;
+use async_executor::Task;
 use async_io::Async;
 use broker_types::limits::PoolLimits;
 use futures_lite::future::yield_now;
@@ -18,7 +19,7 @@
 
 /// Starts the tasks that open and serve sockets.
 pub(super) struct Connector {
-    executor: Rc<LocalExecutor<'static>>,
+    executor: Rc<Executor>,
     /// Queue that the tasks report events to.
     event_queue: Rc<EventQueue>,
     clock: Clock,
@@ -31,7 +32,7 @@
 impl Connector {
     /// Creates a connector whose tasks run in `executor` and report events to `event_queue`.
     pub(super) fn new(
-        executor: Rc<LocalExecutor<'static>>,
+        executor: Rc<Executor>,
         event_queue: Rc<EventQueue>,
         clock: Clock,
         limits: &PoolLimits,
--- a/crates/broker/src/upstream/tests/test_pools.rs
+++ b/crates/broker/src/upstream/tests/test_pools.rs
@@ -8,7 +8,7 @@
 pub(super) struct TestPools {
     pools: ServerPools,
     pub(super) listener: TcpListener,
-    executor: Rc<LocalExecutor<'static>>,
+    executor: Rc<Executor>,
     pub(super) event_queue: Rc<EventQueue>,
 }
 
@@ -29,7 +29,7 @@
 impl TestPools {
     pub(super) fn new(limits: PoolLimits) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let executor = Rc::new(LocalExecutor::new());
+        let executor = Rc::new(Executor::default());
         let event_queue = Rc::new(EventQueue::default());
         let (tasks, events) = (executor.clone(), event_queue.clone());
         let mut pools = TestPools {
--- a/crates/load-generator/src/lib.rs
+++ b/crates/load-generator/src/lib.rs
@@ -9,8 +9,11 @@
 //! closed loop, which sends the next query only after an answer, would leave these delays out
 //! (coordinated omission).
 //!
+//! [`BadClients`] send requests that are costly for the broker beside the load.
+//!
 //! [`raw_http2`] is a client for tests that can break the rules of HTTP/2.
 
+mod bad_clients;
 mod direct;
 mod http1;
 mod http2;
@@ -19,6 +22,7 @@
 pub mod raw_http2;
 mod wire;
 
+pub use bad_clients::{BadClients, BadClientsPlan, BadConnections, BadRequest};
 pub use http1::Http1Client;
 pub use http2::{Http2Client, Http2Stream};
 pub use open_loop::{LoadProfile, LoadReport, Target, open_loop};
