Check each part of a query as it is decoded, and stop at the first invalid one

All 2,300 parts of a body were decoded and stored before the first one was compared with the shards.

Now a part is checked as soon as it is decoded. The first invalid part ends the decoding, and at most one part is stored for each shard. Messages and status codes stay as they were, except that JSON that is malformed behind an invalid part is no longer reported.

Test: decoding_ends_at_the_first_invalid_part failed before ("EOF while parsing an object" in place of "a range is given twice"). body_with_malformed_fields_is_rejected and body_may_have_unknown_fields_or_be_a_list pass on the code before and after.

--- a/crates/query-api/src/decode.rs
+++ b/crates/query-api/src/decode.rs
@@ -1,9 +1,9 @@
 //! Decoding of a query from an HTTP request.
 
+use crate::body::decode_body;
 use crate::deadline::parse_deadline;
 use crate::invalid_request::InvalidRequest;
 use crate::method::is_standard_method;
-use crate::parts::{Body, check_parts};
 use broker_types::query::{ClassIndex, Names, QueryRequest, TenantIndex};
 use broker_types::time::millis;
 use fanout_policy::api::{RetrySafety, Settings};
@@ -42,7 +42,7 @@
     let idempotency_key = idempotency_key(headers, rules.retry_safety)?;
     let max_timeout = millis(rules.client_timeout);
     let client_timeout = client_timeout(headers, max_timeout)?;
-    let body: Body = serde_json::from_slice(request.body())?;
+    let body = decode_body(request.body(), settings.shards)?;
     Ok(QueryRequest {
         id,
         class,
@@ -50,7 +50,7 @@
         client_timeout,
         is_retry: headers.get(RETRY_HEADER).is_some_and(|value| value == "1"),
         idempotency_key,
-        parts: check_parts(body.parts, settings.shards)?,
+        parts: body.parts,
         payload: body.predicate.into(),
     })
 }
--- a/crates/query-api/src/lib.rs
+++ b/crates/query-api/src/lib.rs
@@ -4,6 +4,7 @@
 //! Other packages read and write the messages on connections. Each listener decodes its requests
 //! with [`route`] and encodes final responses with [`encode_final_response`].
 
+mod body;
 mod deadline;
 mod decode;
 mod invalid_request;
--- a/crates/query-api/src/parts.rs
+++ b/crates/query-api/src/parts.rs
@@ -1,4 +1,4 @@
-//! Decoding of a query's body into its parts.
+//! The parts in a query's body, and what has to be true of them.
 
 use crate::invalid_request::InvalidRequest;
 use crate::limits::MAX_CLIENT_TIMEOUT;
@@ -12,16 +12,8 @@
 /// the rounding errors of a hundred parts add up.
 const WEIGHT_SUM_TOLERANCE: f64 = 0.01;
 
-/// Body of a query. The names of this type and of [`RangeBody`] must not change: they are part of
-/// the JSON library's error messages, which clients receive.
-#[derive(Deserialize)]
-pub(crate) struct Body {
-    #[serde(rename = "ranges")]
-    pub(crate) parts: Vec<RangeBody>,
-    pub(crate) predicate: String,
-}
-
-/// A part in the body of a query.
+/// A part in the body of a query. The name of this type must not change: it is part of the JSON
+/// library's error messages, which clients receive.
 #[derive(Deserialize)]
 pub(crate) struct RangeBody {
     /// Index of the shard that the part reads.
@@ -58,38 +50,61 @@
     }
 }
 
-/// Checks the parts of a query in a deployment with `shards` shards.
-pub(crate) fn check_parts(
-    parts: Vec<RangeBody>,
-    shards: usize,
-) -> Result<Vec<PartSpec>, InvalidRequest> {
-    if parts.is_empty() {
-        return Err(InvalidRequest::NoParts);
+/// Checks the parts of a query one after the other. It stores at most one part for each shard.
+pub(crate) struct PartsChecker {
+    /// Whether a part for this shard was added.
+    is_requested: Vec<bool>,
+    parts: Vec<PartSpec>,
+}
+
+impl PartsChecker {
+    /// Creates a checker for a deployment with `shards` shards.
+    pub(crate) fn new(shards: usize) -> Self {
+        PartsChecker {
+            is_requested: vec![false; shards],
+            parts: Vec::new(),
+        }
     }
-    let mut is_requested = vec![false; shards];
-    let mut checked = Vec::with_capacity(parts.len());
-    for part in parts {
-        mark_requested(&mut is_requested, part.shard)?;
-        checked.push(part.check()?);
+
+    /// Checks and adds the next part.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the part is invalid by itself or together with the parts before it.
+    pub(crate) fn add(&mut self, part: RangeBody) -> Result<(), InvalidRequest> {
+        self.mark_requested(part.shard)?;
+        self.parts.push(part.check()?);
+        Ok(())
     }
-    // Whether an answer is complete depends on the sum of the weights of the answered parts. This
-    // sum has no meaning if the weights of all parts do not add up to 1.
-    let sum: f64 = checked.iter().map(|part| part.weight).sum();
-    if (sum - 1.0).abs() > WEIGHT_SUM_TOLERANCE {
-        return Err(InvalidRequest::WeightsDoNotAddUp);
+
+    /// Returns the parts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why the parts are invalid together.
+    pub(crate) fn finish(self) -> Result<Vec<PartSpec>, InvalidRequest> {
+        if self.parts.is_empty() {
+            return Err(InvalidRequest::NoParts);
+        }
+        // Whether an answer is complete depends on the sum of the weights of the answered parts.
+        // This sum has no meaning if the weights of all parts do not add up to 1.
+        let sum: f64 = self.parts.iter().map(|part| part.weight).sum();
+        if (sum - 1.0).abs() > WEIGHT_SUM_TOLERANCE {
+            return Err(InvalidRequest::WeightsDoNotAddUp);
+        }
+        Ok(self.parts)
     }
-    Ok(checked)
-}
 
-/// Marks a shard as requested by a part of the query. A second part for the same shard is invalid,
-/// because data servers identify a part by the request id and the shard.
-fn mark_requested(is_requested: &mut [bool], shard: usize) -> Result<(), InvalidRequest> {
-    match is_requested.get_mut(shard) {
-        Some(is_requested) if *is_requested => Err(InvalidRequest::DuplicateShard),
-        Some(is_requested) => {
-            *is_requested = true;
-            Ok(())
+    /// Marks a shard as requested by a part of the query. A second part for the same shard is
+    /// invalid, because data servers identify a part by the request id and the shard.
+    fn mark_requested(&mut self, shard: usize) -> Result<(), InvalidRequest> {
+        match self.is_requested.get_mut(shard) {
+            Some(is_requested) if *is_requested => Err(InvalidRequest::DuplicateShard),
+            Some(is_requested) => {
+                *is_requested = true;
+                Ok(())
+            }
+            None => Err(InvalidRequest::ShardOutOfBounds),
         }
-        None => Err(InvalidRequest::ShardOutOfBounds),
     }
 }
--- a/crates/query-api/tests/invalid_request.rs
+++ b/crates/query-api/tests/invalid_request.rs
@@ -139,3 +139,63 @@
         assert_invalid(&request("/lookup", &HEADERS, body), 400, reason);
     }
 }
+
+/// Guards against a body that is decoded to its end although a part before it is invalid, and
+/// against a list of parts that is stored whole: either makes an invalid request as costly as it is
+/// long. What follows the first invalid part is not even JSON.
+#[test]
+fn decoding_ends_at_the_first_invalid_part() {
+    let repeated = r#"{"range":0,"portion":0},{"range":0,"portion":0},{"#;
+    for (parts, reason) in [
+        (repeated, "a range is given twice"),
+        (r#"{"range":9,"portion":1},{"#, "a range is out of bounds"),
+        (r#"{"range":0,"portion":2},{"#, "a portion is out of bounds"),
+    ] {
+        let body = format!(r#"{{"ranges":[{parts}"#);
+        assert_invalid(&request("/lookup", &HEADERS, &body), 400, reason);
+    }
+}
+
+#[test]
+fn body_with_malformed_fields_is_rejected() {
+    for (body, reason) in [
+        (
+            r#"{"ranges":[{"range":0,"portion":1}],"predicate":"","predicate":""}"#,
+            "the body is malformed: duplicate field `predicate` at line 1 column 62",
+        ),
+        (
+            r#"{"ranges":[],"ranges":[],"predicate":""}"#,
+            "the body is malformed: duplicate field `ranges` at line 1 column 21",
+        ),
+        (
+            r#"{"ranges":[{"range":0,"portion":1}],"predicate":""} x"#,
+            "the body is malformed: trailing characters at line 1 column 53",
+        ),
+        (
+            r#"{"ranges":0,"predicate":""}"#,
+            "the body is malformed: invalid type: integer `0`, expected a sequence at line 1 column 11",
+        ),
+        (
+            r#"{"ranges":[{"portion":1}],"predicate":""}"#,
+            "the body is malformed: missing field `range` at line 1 column 24",
+        ),
+        (
+            "[[]]",
+            "the body is malformed: invalid length 1, expected struct Body with 2 elements at line 1 column 4",
+        ),
+    ] {
+        assert_invalid(&request("/lookup", &HEADERS, body), 400, reason);
+    }
+}
+
+/// Fields that the broker does not know are ignored, and a list of both fields is a body as well.
+#[test]
+fn body_may_have_unknown_fields_or_be_a_list() {
+    for body in [
+        r#"{"x":[{"y":null}],"predicate":"p","ranges":[{"range":0,"portion":1}]}"#,
+        r#"[[{"range":0,"portion":1}],"p"]"#,
+    ] {
+        let query = decode_request(&request("/lookup", &HEADERS, body)).unwrap();
+        assert_eq!((query.parts.len(), &*query.payload), (1, "p"), "{body}");
+    }
+}
