Delay the next request on a connection whose requests keep being invalid

Callers saw: usual clients nothing, since the thread is shared out.

Fix: from the fifth invalid request in a row on, the next request on the connection is decoded after a delay, from 10 ms doubling up to 400 ms. A valid request or the shutdown ends the delay. request_decoded and query_expired_unread state delay_ms.

--- a/crates/broker/src/listeners/accept.rs
+++ b/crates/broker/src/listeners/accept.rs
@@ -138,6 +138,7 @@
         let arrival = Arrival {
             arrived_at,
             accepted_at,
+            delayed_until: None,
         };
         AcceptedStream { stream, arrival }
     }
--- a/crates/broker/src/listeners/arrival.rs
+++ b/crates/broker/src/listeners/arrival.rs
@@ -33,6 +33,8 @@
     pub(super) arrived_at: Instant,
     /// When the connection was taken from the backlog.
     pub(super) accepted_at: Instant,
+    /// When the delay after invalid requests ended, if there was one.
+    pub(super) delayed_until: Option<Instant>,
 }
 
 /// The time since which bytes may be waiting in a socket.
@@ -129,6 +131,7 @@
         Arrival {
             arrived_at: self.arrived_at.get(),
             accepted_at: self.accepted_at,
+            delayed_until: None,
         }
     }
 }
--- a/crates/broker/src/listeners/context.rs
+++ b/crates/broker/src/listeners/context.rs
@@ -143,6 +143,7 @@
             name: "query_expired_unread", id = %query.id, waited_ms = waited.as_millis() as u64,
             client_timeout_ms = query.client_timeout.as_millis() as u64,
             backlog_ms = timing.backlog.as_millis() as u64,
+            delay_ms = timing.delay.as_millis() as u64,
             run_queue_ms = timing.run_queue.as_millis() as u64,
             decoding_us = timing.decoding.as_micros() as u64
         );
--- a/crates/broker/src/listeners/http1/connection.rs
+++ b/crates/broker/src/listeners/http1/connection.rs
@@ -5,6 +5,7 @@
 use crate::clock::with_timeout;
 use crate::listeners::arrival::Arrival;
 use crate::listeners::context::{ListenerContext, RoutedRequest};
+use crate::listeners::invalid_request_delay::InvalidRequestDelay;
 use crate::listeners::lifecycle::Phase;
 use crate::listeners::reply::{CLOSING_RESPONSE, Reply, error_reply, request_timeout_reply};
 use crate::listeners::slots::{ConnectionSlots, EvictionPriority};
@@ -20,7 +21,7 @@
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Limit on reading pipelined requests while a response is outstanding: once at least this number
 /// of bytes is buffered, nothing more is read.
@@ -52,6 +53,15 @@
     }
 }
 
+/// Outcome of waiting for the delay after invalid requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DelayOutcome {
+    /// The next request may be decoded.
+    Passed,
+    /// The connection was evicted and has to be closed.
+    Evicted,
+}
+
 /// Outcome of receiving a request whose first bytes have arrived.
 enum ReceiveOutcome {
     /// The request is complete or invalid.
@@ -86,6 +96,7 @@
     stream: &'a Async<TcpStream>,
     id: ConnectionId,
     input: RequestInput<'a>,
+    delay: InvalidRequestDelay,
     /// Whether a valid request has been served.
     has_served: bool,
     /// Whether a response was sent.
@@ -105,6 +116,7 @@
             stream,
             id: context.next_connection(),
             input: RequestInput::new(stream, arrival, context.slice().clone()),
+            delay: InvalidRequestDelay::default(),
             has_served: false,
             has_responded: false,
         }
@@ -113,6 +125,9 @@
     /// Serves requests until the connection has to be closed. Returns how the caller must close it.
     pub(super) async fn serve(&mut self) -> io::Result<Closing> {
         loop {
+            if self.wait_for_delay().await == DelayOutcome::Evicted {
+                return Ok(self.closing_after_eviction(LINGER));
+            }
             if self.input.buffered_bytes() == 0 {
                 match self.wait_for_request().await? {
                     WaitOutcome::RequestStarted => {}
@@ -145,6 +160,32 @@
         }
     }
 
+    /// Waits until the delay after invalid requests has passed, or the shutdown starts. Until the
+    /// connection has served a valid request, it may be evicted meanwhile.
+    async fn wait_for_delay(&mut self) -> DelayOutcome {
+        let is_serving = self.context.lifecycle().phase() == Phase::Serving;
+        let decode_at = self.delay.decode_at(Instant::now());
+        let decode_at = decode_at.filter(|_| is_serving);
+        self.input.set_delayed_until(decode_at);
+        let Some(decode_at) = decode_at else {
+            return DelayOutcome::Passed;
+        };
+        let passed = async {
+            let timer = async { _ = Timer::at(decode_at).await };
+            timer.or(self.context.lifecycle().phase_changed()).await;
+            DelayOutcome::Passed
+        };
+        if self.has_served {
+            return passed.await;
+        }
+        let evictable = self.slots.evictable(EvictionPriority::Unused);
+        let evicted = async {
+            evictable.evicted().await;
+            DelayOutcome::Evicted
+        };
+        passed.or(evicted).await
+    }
+
     /// Waits for the first bytes of a request. The connection is idle meanwhile: it may be evicted
     /// and has an idle timeout.
     async fn wait_for_request(&mut self) -> io::Result<WaitOutcome> {
@@ -245,6 +286,8 @@
         self.has_responded = true;
         write(self.stream, &encode_response(&response, options)).await?;
         self.has_served |= reply.is_valid_request;
+        self.delay
+            .on_answered(Instant::now(), reply.is_valid_request);
         Ok(if options.keep_alive {
             Persistence::KeepAlive
         } else {
--- a/crates/broker/src/listeners/http1/input.rs
+++ b/crates/broker/src/listeners/http1/input.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Records when the delay of the next request ended, if it is delayed.
+    pub(super) fn set_delayed_until(&mut self, delayed_until: Option<Instant>) {
+        self.decoded_arrival.delayed_until = delayed_until;
+    }
+
     /// Records that the caller has dropped the future of [`Self::read`] and does not read for now.
     pub(super) fn on_read_dropped(&mut self) {
         self.unread.on_wait_ended(Instant::now());
--- a/crates/broker/src/listeners/http2/connection.rs
+++ b/crates/broker/src/listeners/http2/connection.rs
@@ -7,6 +7,7 @@
 use super::lifetime::{ConnectionActivity, ConnectionLifetime, DeadlineAction};
 use super::stream::{NewStream, StreamOutcome};
 use crate::listeners::context::ListenerContext;
+use crate::listeners::invalid_request_delay::InvalidRequestDelay;
 use crate::listeners::lifecycle::Phase;
 use crate::listeners::slots::{ConnectionSlots, Evictable};
 use admission::ConnectionId;
@@ -46,6 +47,8 @@
     protocol: Box<GuardedConnection>,
     streams: FuturesUnordered<StreamTask>,
     lifetime: ConnectionLifetime,
+    /// Shared with the connection's streams.
+    delay: Rc<InvalidRequestDelay>,
     timer: Timer,
 }
 
@@ -63,6 +66,7 @@
             protocol,
             streams: FuturesUnordered::new(),
             lifetime: ConnectionLifetime::new(context.clock().now()),
+            delay: Rc::default(),
             timer: Timer::never(),
         }
     }
@@ -118,7 +122,7 @@
             stream.refuse();
             return;
         }
-        let task = stream.serve(self.context.clone(), self.id);
+        let task = stream.serve(self.context.clone(), self.id, self.delay.clone());
         self.streams.push(Box::pin(task));
     }
 
--- a/crates/broker/src/listeners/http2/stream.rs
+++ b/crates/broker/src/listeners/http2/stream.rs
@@ -4,6 +4,7 @@
 use crate::clock::with_timeout;
 use crate::listeners::arrival::{Arrival, LastArrival};
 use crate::listeners::context::{ListenerContext, RoutedRequest};
+use crate::listeners::invalid_request_delay::InvalidRequestDelay;
 use crate::listeners::reply::{Reply, error_reply, request_timeout_reply};
 use crate::listeners::timeouts::MESSAGE_TIMEOUT;
 use admission::ConnectionId;
@@ -86,11 +87,12 @@
         self.respond.send_reset(Reason::REFUSED_STREAM);
     }
 
-    /// Serves the stream until it ends.
+    /// Serves the stream until it ends. `delay` is that of the connection.
     pub(super) async fn serve(
         self,
         context: Rc<ListenerContext>,
         connection: ConnectionId,
+        delay: Rc<InvalidRequestDelay>,
     ) -> StreamOutcome {
         let NewStream {
             request,
@@ -102,7 +104,8 @@
         let body_policy = BodyPolicy::for_method(&head.method);
         let receive = receive_body(&mut body, &head.headers);
         let received = with_timeout(MESSAGE_TIMEOUT, receive).await;
-        let arrival = last_arrival.get();
+        let mut arrival = last_arrival.get();
+        arrival.delayed_until = delay.wait().await;
         // A connection has many streams, and a request may take long to decode.
         context.slice().yield_if_used_up().await;
         let arrived_at = arrival.arrived_at;
@@ -122,6 +125,7 @@
             Err(_cancelled) => return StreamOutcome::REQUEST_CANCELLED,
         };
         let is_valid_request = pending.reply.is_valid_request;
+        delay.on_answered(Instant::now(), is_valid_request);
         let response = context.with_date(pending.reply.response);
         let response = OutgoingResponse::new(response, body_policy);
         let sent_body_bytes = match response.send(respond, body, pending.deadline).await {
--- a/crates/broker/src/listeners/mod.rs
+++ b/crates/broker/src/listeners/mod.rs
@@ -10,6 +10,7 @@
 mod date;
 mod http1;
 mod http2;
+mod invalid_request_delay;
 mod lifecycle;
 mod reply;
 mod request_timing;
--- a/crates/broker/src/listeners/request_timing.rs
+++ b/crates/broker/src/listeners/request_timing.rs
@@ -19,6 +19,8 @@
 pub(super) struct RequestTiming {
     /// At most this long, the connection waited in the backlog after the request had arrived.
     pub(super) backlog: Duration,
+    /// From then on, its connection was delayed for this long because of earlier invalid requests.
+    pub(super) delay: Duration,
     /// From then on, at most this long until the decoding started.
     pub(super) run_queue: Duration,
     /// Duration of the decoding.
@@ -28,9 +30,14 @@
 impl RequestTiming {
     /// Computes the times of a request whose decoding started and ended at these times.
     pub(super) fn new(arrival: Arrival, started_at: Instant, ended_at: Instant) -> Self {
-        let ready_at = arrival.arrived_at.max(arrival.accepted_at);
+        let accepted_at = arrival.arrived_at.max(arrival.accepted_at);
+        let ready_at = arrival
+            .delayed_until
+            .unwrap_or(accepted_at)
+            .max(accepted_at);
         RequestTiming {
-            backlog: ready_at - arrival.arrived_at,
+            backlog: accepted_at - arrival.arrived_at,
+            delay: ready_at - accepted_at,
             run_queue: started_at.saturating_duration_since(ready_at),
             decoding: ended_at - started_at,
         }
@@ -70,6 +77,7 @@
         debug!(
             name: "request_decoded", valid = is_valid,
             backlog_ms = timing.backlog.as_millis() as u64,
+            delay_ms = timing.delay.as_millis() as u64,
             run_queue_ms = timing.run_queue.as_millis() as u64,
             decoding_us = timing.decoding.as_micros() as u64
         );
@@ -116,3 +124,6 @@
         );
     }
 }
+
+#[cfg(test)]
+mod tests;
