Measure usual queries beside bad clients in query-broker bench

The command has one more table: latency and number of usual queries over HTTP/1.1 while 300 bad clients send what is costly to read or to decode, over kept and new connections and over HTTP/2, invalid at the start or at the end, valid, or in heads byte by byte.

--- a/crates/load-generator/src/bad_clients/requests.rs
+++ b/crates/load-generator/src/bad_clients/requests.rs
@@ -28,14 +28,6 @@
 }
 
 impl BadRequest {
-    /// All kinds.
-    pub const ALL: [BadRequest; 4] = [
-        BadRequest::RepeatedShard,
-        BadRequest::ErrorAtEnd,
-        BadRequest::PaddedQuery,
-        BadRequest::HeadByteByByte,
-    ];
-
     /// Returns the name in printed figures.
     #[must_use]
     pub fn name(self) -> &'static str {
--- a/crates/query-broker/src/bench/measurements.rs
+++ b/crates/query-broker/src/bench/measurements.rs
@@ -1,5 +1,6 @@
 //! The list of measurements of the benchmark, with the route, rate and size of each.
 
+use super::bad_clients::{BadClientKind, http1_kinds, http2_kinds};
 use super::broker_build::{Listeners, Pacing};
 use super::flood::FloodKind;
 
@@ -140,3 +141,12 @@
         Listeners::Http1Only => &[],
     }
 }
+
+/// Returns all kinds of bad clients to which a build with these listeners is exposed.
+pub(super) fn bad_client_kinds(listeners: Listeners) -> Vec<BadClientKind> {
+    let mut kinds = http1_kinds();
+    if listeners == Listeners::Http1AndHttp2 {
+        kinds.extend(http2_kinds());
+    }
+    kinds
+}
--- a/crates/query-broker/src/bench/mod.rs
+++ b/crates/query-broker/src/bench/mod.rs
@@ -1,6 +1,7 @@
 //! The command `query-broker bench`: measures latency, throughput, processor time and memory of the
 //! HTTP/1.1 and HTTP/2 listeners in one run, against a fleet of test doubles on loopback.
 
+mod bad_clients;
 mod broker_build;
 mod error;
 mod flood;
@@ -65,13 +66,15 @@
 }
 
 /// Runs all measurements that suit the build, one after another. `duration` is the length of each
-/// measurement of load or of a flood, without the start of the processes. It includes the warm-up
-/// of a flood, but not that of a load.
+/// measurement of load, of a flood or with bad clients, without the start of the processes. It
+/// includes the warm-up, except that of a load.
 fn measure_all(build: &BrokerBuild, duration: Duration) -> Result<Results, BenchError> {
     let loads = measurements::load_measurements(build.listeners);
     let memory = measurements::memory_measurements(build.listeners);
     let floods = measurements::flood_kinds(build.listeners);
-    let progress = progress_bar(loads.len() + memory.len() + floods.len())?;
+    let bad_clients = measurements::bad_client_kinds(build.listeners);
+    let count = loads.len() + memory.len() + floods.len() + bad_clients.len();
+    let progress = progress_bar(count)?;
     let mut results = Results::default();
     for measurement in loads {
         progress.set_message(measurement.route.name());
@@ -90,6 +93,12 @@
         results.floods.push(flood::measure(build, kind, duration)?);
         progress.inc(1);
     }
+    for kind in bad_clients {
+        progress.set_message(format!("bad clients: {}", bad_clients::kind_name(kind)));
+        let figures = bad_clients::measure(build, kind, duration)?;
+        results.bad_clients.push(figures);
+        progress.inc(1);
+    }
     progress.finish_and_clear();
     Ok(results)
 }
--- a/crates/query-broker/src/bench/report.rs
+++ b/crates/query-broker/src/bench/report.rs
@@ -1,5 +1,6 @@
 //! Formats the figures of all measurements as tables and as JSON.
 
+use super::bad_clients::{BadClientFigures, kind_name};
 use super::flood::FloodFigures;
 use super::load::LoadFigures;
 use super::measurements::HttpVersion;
@@ -16,6 +17,7 @@
     pub(super) loads: Vec<LoadFigures>,
     pub(super) memory: Vec<MemoryFigures>,
     pub(super) floods: Vec<FloodFigures>,
+    pub(super) bad_clients: Vec<BadClientFigures>,
 }
 
 impl Results {
@@ -24,12 +26,16 @@
         let loads: Vec<Value> = self.loads.iter().map(load_json).collect();
         let memory: Vec<Value> = self.memory.iter().map(memory_json).collect();
         let floods: Vec<Value> = self.floods.iter().map(flood_json).collect();
-        json!({"load": loads, "memory": memory, "floods": floods})
+        let bad_clients: Vec<Value> = self.bad_clients.iter().map(bad_clients_json).collect();
+        json!({"load": loads, "memory": memory, "floods": floods, "bad_clients": bad_clients})
     }
 
     /// Returns all figures as tables, with a note on what was measured below each.
     pub(super) fn to_table(&self) -> String {
-        load_table(&self.loads) + &memory_table(&self.memory) + &flood_table(&self.floods)
+        load_table(&self.loads)
+            + &memory_table(&self.memory)
+            + &flood_table(&self.floods)
+            + &bad_clients_table(&self.bad_clients)
     }
 }
 
@@ -152,3 +158,32 @@
          and reconnects as soon as the broker closes its connection. closed: attacker's connections that the broker closed;\n\
          longest s: duration of the longest of them.\n"
 }
+
+fn bad_clients_json(figures: &BadClientFigures) -> Value {
+    let quantile = |q| quantile_ms(&figures.latency, q);
+    json!({"bad_clients": kind_name(figures.kind),
+        "p50_ms": quantile(0.5), "p99_ms": quantile(0.99), "p999_ms": quantile(0.999),
+        "served": figures.served, "unserved": figures.unserved,
+        "bad_responses": figures.bad_responses})
+}
+
+fn bad_clients_table(rows: &[BadClientFigures]) -> String {
+    let mut text = format!(
+        "\n{:<36} {:>8} {:>8} {:>8} {:>7} {:>9} {:>14}\n",
+        "bad clients", "p50 ms", "p99 ms", "p99.9 ms", "served", "unserved", "bad responses"
+    );
+    for figures in rows {
+        text += &format!(
+            "{:<36} {:>8.2} {:>8.2} {:>8.2} {:>7} {:>9} {:>14}\n",
+            kind_name(figures.kind),
+            quantile_ms(&figures.latency, 0.5),
+            quantile_ms(&figures.latency, 0.99),
+            quantile_ms(&figures.latency, 0.999),
+            figures.served,
+            figures.unserved,
+            figures.bad_responses
+        );
+    }
+    text + "Usual clients send 100 queries a second over HTTP/1.1, whose parts take 30 ms. Beside them, 300 clients send\n\
+         requests that are costly to read or to decode, each again as soon as it is answered.\n"
+}
--- a/crates/query-broker/src/cli.rs
+++ b/crates/query-broker/src/cli.rs
@@ -83,7 +83,7 @@
 
 #[derive(Args, Debug)]
 pub(crate) struct BenchArguments {
-    /// Duration of each measurement of load or of a flood, in seconds, 0.5 to 600
+    /// Duration of each measurement of load, of a flood or with bad clients, in seconds, 0.5 to 600
     #[arg(long = "seconds", value_name = "S", default_value = "5", value_parser = parse_measurement_duration)]
     pub(crate) duration: Duration,
     /// Print the figures as JSON
