Read the clock less often for each request, and move an HTTP/1.1 connection's waits

The time at which a query was decoded is also that of its submission and of the check of its timeout, and a connection without invalid requests asks no clock about their delay.

--- a/crates/broker/src/event_queue.rs
+++ b/crates/broker/src/event_queue.rs
@@ -107,7 +107,7 @@
         self.wake_up.notify_one();
     }
 
-    /// Submits a query whose request arrived at `arrived_at`, at the time `now`. The returned handle
+    /// Submits a query whose request arrived at `arrived_at`, and that is queued at `now`. The returned handle
     /// receives the one final response. Dropping the handle before the response has been sent
     /// abandons the query.
     pub fn submit_query(
--- a/crates/broker/src/listeners/context.rs
+++ b/crates/broker/src/listeners/context.rs
@@ -36,10 +36,19 @@
     last_connection: Cell<ConnectionId>,
 }
 
+/// A query that has been decoded.
+pub(super) struct DecodedQuery {
+    pub(super) request: QueryRequest,
+    /// When its last byte arrived at the earliest.
+    pub(super) arrived_at: Instant,
+    /// When it was decoded.
+    pub(super) decoded_at: Instant,
+}
+
 /// Next step for a request that has been decoded.
 pub(super) enum RoutedRequest {
     /// The request is a query, which has to be submitted to the event loop.
-    Query(QueryRequest),
+    Query(DecodedQuery),
     /// The reply is known without the event loop, because the request is no query, is invalid or is
     /// rejected.
     Immediate(Reply),
@@ -104,7 +113,8 @@
             Phase::Draining | Phase::Closing => Readiness::NotReady,
         };
         let routed = route(request, readiness, &self.names, &self.settings);
-        let timing = RequestTiming::new(arrival, started_at, Instant::now());
+        let decoded_at = Instant::now();
+        let timing = RequestTiming::new(arrival, started_at, decoded_at);
         self.timings.on_request_decoded(timing, &routed);
         match routed {
             // The query might not finish before the program exits.
@@ -112,10 +122,17 @@
                 response: self.rejection(),
                 is_valid_request: true,
             }),
-            Routed::Query(query) => match self.reply_if_expired(&query, arrival, timing) {
-                Some(reply) => RoutedRequest::Immediate(reply),
-                None => RoutedRequest::Query(query),
-            },
+            Routed::Query(request) => {
+                let query = DecodedQuery {
+                    request,
+                    arrived_at: arrival.arrived_at,
+                    decoded_at,
+                };
+                match self.reply_if_expired(&query, timing) {
+                    Some(reply) => RoutedRequest::Immediate(reply),
+                    None => RoutedRequest::Query(query),
+                }
+            }
             Routed::Immediate {
                 response,
                 is_valid_request,
@@ -126,22 +143,17 @@
         }
     }
 
-    /// Returns the reply to a query with the given arrival if its client's timeout has passed
-    /// already. Such a query is rejected without the event loop, so that a connection with many of
+    /// Returns the reply to a query if its client's timeout has passed already. Such a query is rejected without the event loop, so that a connection with many of
     /// them does not wait for an iteration for each.
-    fn reply_if_expired(
-        &self,
-        query: &QueryRequest,
-        arrival: Arrival,
-        timing: RequestTiming,
-    ) -> Option<Reply> {
-        let waited = arrival.arrived_at.elapsed();
-        if waited < query.client_timeout {
+    fn reply_if_expired(&self, query: &DecodedQuery, timing: RequestTiming) -> Option<Reply> {
+        let client_timeout = query.request.client_timeout;
+        let waited = query.decoded_at - query.arrived_at;
+        if waited < client_timeout {
             return None;
         }
         info!(
-            name: "query_expired_unread", id = %query.id, waited_ms = waited.as_millis() as u64,
-            client_timeout_ms = query.client_timeout.as_millis() as u64,
+            name: "query_expired_unread", id = %query.request.id, waited_ms = waited.as_millis() as u64,
+            client_timeout_ms = client_timeout.as_millis() as u64,
             backlog_ms = timing.backlog.as_millis() as u64,
             delay_ms = timing.delay.as_millis() as u64,
             run_queue_ms = timing.run_queue.as_millis() as u64,
@@ -153,23 +165,24 @@
         })
     }
 
-    /// Submits a query that arrived at `arrived_at` immediately, before the returned future is
+    /// Submits a query immediately, before the returned future is
     /// polled. The future waits for the query's final response. If `client_disconnected` completes
     /// first, the query is cancelled, and the future returns the output of `client_disconnected` as
     /// an error.
     pub(super) fn submit<'a, E: 'a>(
         &'a self,
         connection: ConnectionId,
-        query: QueryRequest,
-        arrived_at: Instant,
+        query: DecodedQuery,
         client_disconnected: impl Future<Output = E> + 'a,
     ) -> impl Future<Output = Result<Reply, E>> + 'a {
         // If the handle is dropped before the response has arrived, it reports the disconnection to
         // the event loop, which cancels the query.
-        let arrived_at = self.clock.timestamp(arrived_at);
-        let handle = self
-            .events
-            .submit_query(connection, query, arrived_at, self.clock.now());
+        let handle = self.events.submit_query(
+            connection,
+            query.request,
+            self.clock.timestamp(query.arrived_at),
+            self.clock.timestamp(query.decoded_at),
+        );
         let reply = async move { Ok(final_reply(&handle.response().await)) };
         let cancelled = async { Err(client_disconnected.await) };
         reply.or(cancelled)
--- a/crates/broker/src/listeners/http1/connection.rs
+++ b/crates/broker/src/listeners/http1/connection.rs
@@ -2,6 +2,7 @@
 //! final response and writes the response before it decodes the next request.
 
 use super::input::{ReceivedRequest, RequestInput, write};
+use super::waiting::{DelayOutcome, WaitOutcome};
 use crate::clock::with_timeout;
 use crate::listeners::arrival::Arrival;
 use crate::listeners::context::{ListenerContext, RoutedRequest};
@@ -9,7 +10,7 @@
 use crate::listeners::lifecycle::Phase;
 use crate::listeners::reply::{CLOSING_RESPONSE, Reply, error_reply, request_timeout_reply};
 use crate::listeners::slots::{ConnectionSlots, EvictionPriority};
-use crate::listeners::timeouts::{MESSAGE_TIMEOUT, RECEIVE_TIMEOUT};
+use crate::listeners::timeouts::MESSAGE_TIMEOUT;
 use crate::net::{LINGER, LINGER_IDLE, has_hung_up};
 use admission::ConnectionId;
 use async_io::{Async, Timer};
@@ -21,7 +22,7 @@
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Limit on reading pipelined requests while a response is outstanding: once at least this number
 /// of bytes is buffered, nothing more is read.
@@ -31,37 +32,6 @@
 /// detected by reading.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Outcome of waiting for a request.
-enum WaitOutcome {
-    /// The first bytes of a request have arrived.
-    RequestStarted,
-    /// The connection has to be closed.
-    ConnectionEnded,
-    /// The connection was evicted and has to be closed.
-    Evicted,
-}
-
-impl WaitOutcome {
-    /// Returns the outcome for the number of received bytes. The number is 0 if the client has
-    /// closed its side, or if the wait ended by a timeout.
-    fn from_received_bytes(received: usize) -> Self {
-        if received > 0 {
-            WaitOutcome::RequestStarted
-        } else {
-            WaitOutcome::ConnectionEnded
-        }
-    }
-}
-
-/// Outcome of waiting for the delay after invalid requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum DelayOutcome {
-    /// The next request may be decoded.
-    Passed,
-    /// The connection was evicted and has to be closed.
-    Evicted,
-}
-
 /// Outcome of receiving a request whose first bytes have arrived.
 enum ReceiveOutcome {
     /// The request is complete or invalid.
@@ -91,14 +61,14 @@
 
 /// One HTTP/1.1 connection.
 pub(super) struct Http1Connection<'a> {
-    context: &'a Rc<ListenerContext>,
-    slots: &'a ConnectionSlots,
+    pub(super) context: &'a Rc<ListenerContext>,
+    pub(super) slots: &'a ConnectionSlots,
     stream: &'a Async<TcpStream>,
     id: ConnectionId,
-    input: RequestInput<'a>,
-    delay: InvalidRequestDelay,
+    pub(super) input: RequestInput<'a>,
+    pub(super) delay: InvalidRequestDelay,
     /// Whether a valid request has been served.
-    has_served: bool,
+    pub(super) has_served: bool,
     /// Whether a response was sent.
     has_responded: bool,
 }
@@ -160,67 +130,6 @@
         }
     }
 
-    /// Waits until the delay after invalid requests has passed, or the shutdown starts. Until the
-    /// connection has served a valid request, it may be evicted meanwhile.
-    async fn wait_for_delay(&mut self) -> DelayOutcome {
-        let is_serving = self.context.lifecycle().phase() == Phase::Serving;
-        let decode_at = self.delay.decode_at(Instant::now());
-        let decode_at = decode_at.filter(|_| is_serving);
-        self.input.set_delayed_until(decode_at);
-        let Some(decode_at) = decode_at else {
-            return DelayOutcome::Passed;
-        };
-        let passed = async {
-            let timer = async { _ = Timer::at(decode_at).await };
-            timer.or(self.context.lifecycle().phase_changed()).await;
-            DelayOutcome::Passed
-        };
-        if self.has_served {
-            return passed.await;
-        }
-        let evictable = self.slots.evictable(EvictionPriority::Unused);
-        let evicted = async {
-            evictable.evicted().await;
-            DelayOutcome::Evicted
-        };
-        passed.or(evicted).await
-    }
-
-    /// Waits for the first bytes of a request. The connection is idle meanwhile: it may be evicted
-    /// and has an idle timeout.
-    async fn wait_for_request(&mut self) -> io::Result<WaitOutcome> {
-        if self.context.lifecycle().phase() == Phase::Closing {
-            return self.wait_for_last_request().await;
-        }
-        let priority = if self.has_served {
-            EvictionPriority::Idle
-        } else {
-            EvictionPriority::Unused
-        };
-        let evictable = self.slots.evictable(priority);
-        let timeout = if self.has_served {
-            self.slots.idle_timeout()
-        } else {
-            RECEIVE_TIMEOUT
-        };
-        let timer = Timer::after(timeout);
-        let evicted = async {
-            evictable.evicted().await;
-            Ok(WaitOutcome::Evicted)
-        };
-        let timed_out = async {
-            timer.await;
-            Ok(WaitOutcome::ConnectionEnded)
-        };
-        let received = async {
-            let received = self.input.read().await?;
-            Ok(WaitOutcome::from_received_bytes(received))
-        };
-        // `or` polls the read first, so a request that arrives at the moment of an eviction or a
-        // timeout is served.
-        received.or(evicted).or(timed_out).await
-    }
-
     /// Returns how a connection that was evicted has to be closed. If it may linger, `linger_time` is
     /// the time limit. During the shutdown, all idle connections are evicted, but no other
     /// connection needs their slots.
@@ -233,21 +142,6 @@
         }
     }
 
-    /// Checks for a last request in [`Phase::Closing`], when the broker closes its connections. A
-    /// request that has already arrived is read. A client that has sent no valid request yet may
-    /// have just connected, so the broker waits up to [`LINGER_IDLE`] for its request.
-    async fn wait_for_last_request(&mut self) -> io::Result<WaitOutcome> {
-        let has_served = self.has_served;
-        let closed = async {
-            if !has_served {
-                Timer::after(LINGER_IDLE).await;
-            }
-            Ok(0)
-        };
-        let received = self.input.read().or(closed).await?;
-        Ok(WaitOutcome::from_received_bytes(received))
-    }
-
     /// Receives a request whose first bytes have arrived. Until the connection has served a valid
     /// request, it may be evicted meanwhile.
     async fn receive_request(&mut self) -> io::Result<ReceiveOutcome> {
@@ -286,8 +180,7 @@
         self.has_responded = true;
         write(self.stream, &encode_response(&response, options)).await?;
         self.has_served |= reply.is_valid_request;
-        self.delay
-            .on_answered(Instant::now(), reply.is_valid_request);
+        self.delay.on_answered(reply.is_valid_request);
         Ok(if options.keep_alive {
             Persistence::KeepAlive
         } else {
@@ -308,9 +201,7 @@
             RoutedRequest::Immediate(reply) => return Ok(reply),
         };
         let disconnected = wait_for_disconnect(self.stream, &mut self.input);
-        let submitted = self
-            .context
-            .submit(self.id, query, arrival.arrived_at, disconnected);
+        let submitted = self.context.submit(self.id, query, disconnected);
         let reply = submitted.await;
         self.input.on_read_dropped();
         reply
--- a/crates/broker/src/listeners/http1/mod.rs
+++ b/crates/broker/src/listeners/http1/mod.rs
@@ -1,9 +1,10 @@
 //! The listener for HTTP/1.1. Each connection is served and closed by a task of its own.
-//! `connection` holds the state of a connection, and `input` the bytes that have been received on
-//! it.
+//! `connection` holds the state of a connection, `waiting` waits for its next request, and `input`
+//! holds the bytes that have been received on it.
 
 mod connection;
 mod input;
+mod waiting;
 
 use super::accept::ConnectionHandler;
 use super::arrival::Arrival;
--- a/crates/broker/src/listeners/http2/stream.rs
+++ b/crates/broker/src/listeners/http2/stream.rs
@@ -108,12 +108,11 @@
         arrival.delayed_until = delay.wait().await;
         // A connection has many streams, and a request may take long to decode.
         context.slice().yield_if_used_up().await;
-        let arrived_at = arrival.arrived_at;
         let pending = match route(&context, head, received, arrival) {
             Ok(RoutedRequest::Query(query)) => {
-                let deadline = arrived_at + query.client_timeout;
+                let deadline = query.arrived_at + query.request.client_timeout;
                 let reset = poll_fn(|cx| respond.poll_reset(cx));
-                match context.submit(connection, query, arrived_at, reset).await {
+                match context.submit(connection, query, reset).await {
                     Ok(reply) => PendingReply { reply, deadline },
                     Err(_reset) => return StreamOutcome::QUERY_CANCELLED,
                 }
@@ -125,7 +124,7 @@
             Err(_cancelled) => return StreamOutcome::REQUEST_CANCELLED,
         };
         let is_valid_request = pending.reply.is_valid_request;
-        delay.on_answered(Instant::now(), is_valid_request);
+        delay.on_answered(is_valid_request);
         let response = context.with_date(pending.reply.response);
         let response = OutgoingResponse::new(response, body_policy);
         let sent_body_bytes = match response.send(respond, body, pending.deadline).await {
--- a/crates/broker/src/listeners/invalid_request_delay.rs
+++ b/crates/broker/src/listeners/invalid_request_delay.rs
@@ -26,28 +26,29 @@
 }
 
 impl InvalidRequestDelay {
-    /// Records a request that was answered at `now`.
-    pub(super) fn on_answered(&self, now: Instant, is_valid: bool) {
+    /// Records that a request was answered.
+    pub(super) fn on_answered(&self, is_valid: bool) {
         let invalid = if is_valid {
             0
         } else {
             self.invalid_in_a_row.get().saturating_add(1)
         };
         self.invalid_in_a_row.set(invalid);
-        self.decode_at.set(delay(invalid).map(|delay| now + delay));
+        let decode_at = delay(invalid).map(|delay| Instant::now() + delay);
+        self.decode_at.set(decode_at);
     }
 
-    /// Returns the time at which a request may be decoded that has been received by `now`, or `None`
-    /// if that is now.
-    pub(super) fn decode_at(&self, now: Instant) -> Option<Instant> {
-        self.decode_at.get().filter(|at| now < *at)
+    /// Returns the time at which a request may be decoded that has been received, or `None` if that
+    /// is now.
+    pub(super) fn decode_at(&self) -> Option<Instant> {
+        self.decode_at.get().filter(|at| Instant::now() < *at)
     }
 
     /// Waits until a request may be decoded that has just been received. Invalid requests that are
     /// answered meanwhile on other streams do not prolong the wait. Returns when the delay ended, if
     /// there was one.
     pub(super) async fn wait(&self) -> Option<Instant> {
-        let decode_at = self.decode_at(Instant::now())?;
+        let decode_at = self.decode_at()?;
         Timer::at(decode_at).await;
         Some(decode_at)
     }
--- a/crates/broker/src/listeners/invalid_request_delay/tests.rs
+++ b/crates/broker/src/listeners/invalid_request_delay/tests.rs
@@ -15,15 +15,15 @@
 
 #[test]
 fn valid_request_ends_the_delay() {
-    let (now, connection) = (Instant::now(), InvalidRequestDelay::default());
-    for _ in 0..=UNDELAYED_REQUESTS {
-        assert_eq!(connection.decode_at(now), None);
-        connection.on_answered(now, false);
+    let connection = InvalidRequestDelay::default();
+    for _ in 0..UNDELAYED_REQUESTS + 10 {
+        connection.on_answered(false);
+    }
+    assert!(connection.decode_at().is_some());
+    connection.on_answered(true);
+    assert_eq!(connection.decode_at(), None);
+    for _ in 0..UNDELAYED_REQUESTS {
+        connection.on_answered(false);
+        assert_eq!(connection.decode_at(), None);
     }
-    assert_eq!(connection.decode_at(now), Some(now + FIRST_DELAY));
-    assert_eq!(connection.decode_at(now + FIRST_DELAY), None);
-    connection.on_answered(now, true);
-    assert_eq!(connection.decode_at(now), None);
-    connection.on_answered(now, false);
-    assert_eq!(connection.decode_at(now), None);
 }
