--- a/crates/load-generator/src/http1.rs
+++ b/crates/load-generator/src/http1.rs
@@ -18,6 +18,7 @@
 
 /// An HTTP/1.1 connection of a client. It carries one request at a time.
 pub struct Http1Client {
+    address: SocketAddr,
     stream: Async<TcpStream>,
     decoder: ResponseDecoder,
     /// Received bytes that are not decoded yet.
@@ -36,6 +37,7 @@
         let stream = Async::<TcpStream>::connect(address).await?;
         stream.get_ref().set_nodelay(true)?;
         Ok(Http1Client {
+            address,
             stream,
             decoder: ResponseDecoder::new(RESPONSE_LIMITS),
             input: Vec::new(),
@@ -59,8 +61,7 @@
     ) -> io::Result<Response<Vec<u8>>> {
         match self.send(request).await {
             Err(_) if self.input.is_empty() => {
-                let address = self.stream.get_ref().peer_addr()?;
-                *self = Http1Client::connect(address).await?;
+                *self = Http1Client::connect(self.address).await?;
                 self.send(request).await
             }
             result => result,
